--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -5,14 +5,15 @@
 
 mod wire;
 
+use sorrelhaven_config as config;
 use std::collections::HashMap;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
 use stepusher::{
-    Action, Arrival, Class, Dispatcher, Effect, Entry, Event, Lifecycle, Limits, Members, Micros, Outcome,
-    Prices, ReportFields, RequestId, RuleFigures, Scope, Settings, WorkerId,
+    Action, Arrival, Dispatcher, Entry, Event, Lifecycle, Members, Micros, Outcome, RequestId, Settings,
+    WorkerId,
 };
-use wire::{Batch, Conf, Grade, Message, Order, Outbox, Reply, Row};
+use wire::{Batch, Message, Order, Outbox, Reply, Row};
 
 /// A list line with the worker still by its word: lists belong to the process, numbers to an instance.
 struct NamedEntry {
@@ -158,7 +159,8 @@
     ) -> Result<(), String> {
         match message {
             Message::Create { salt, conf } => {
-                self.instances.insert(name.to_string(), Instance::new(settings(*conf)?, salt));
+                let settings = config::settings_from("conf", conf).map_err(|e| e.to_string())?;
+                self.instances.insert(name.to_string(), Instance::new(settings, salt));
                 return Ok(());
             }
             Message::Kill {} => {
@@ -255,11 +257,6 @@
     }
 }
 
-/// FNV-1a: a number that every dispatcher draws alike from a worker's word.
-fn key(word: &str) -> u64 {
-    word.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 fn outcome(code: u8) -> Result<Outcome, String> {
     Ok(match code {
         0 => Outcome::Ok,
@@ -283,7 +280,7 @@
     };
     let entry = Entry {
         worker: WorkerId(0),
-        key: key(&row.worker),
+        key: config::key(&row.worker),
         lifecycle,
         born: row.born,
         kind: row.machine,
@@ -294,74 +291,6 @@
     Ok(NamedEntry { worker: row.worker.into_owned(), entry })
 }
 
-fn class(grade: Grade, stretch: Option<f64>, kind: Option<i64>) -> Result<Class, String> {
-    let effect = match grade.effect.as_str() {
-        "idempotent" => Effect::Safe,
-        "at_most_once" => Effect::Unsafe,
-        "deduplicated" => Effect::Keyed {
-            scope: match grade.dedup_scope.as_str() {
-                "all" => Scope::All,
-                "zone" => Scope::Zone,
-                "cell" => Scope::Cell,
-                other => return Err(format!("unknown dedupScope {other:?}")),
-            },
-            window: grade.repeat_window,
-        },
-        other => return Err(format!("unknown effect {other:?}")),
-    };
-    Ok(Class {
-        effect,
-        aim: grade.aim,
-        stretch: stretch.or(grade.aim_stretch).unwrap_or(0.0),
-        deadline: grade.deadline,
-        worth: grade.value,
-        late_worth: grade.late_value,
-        kind: kind.and_then(|k| usize::try_from(k).ok()),
-    })
-}
-
-fn settings(conf: Conf) -> Result<Settings, String> {
-    let info = conf.family_info;
-    let mut classes = Vec::new();
-    for (i, grade) in conf.grades.into_iter().enumerate() {
-        classes.push(class(grade, info.class_stretch.get(i).copied(), info.class_kind.get(i).copied())?);
-    }
-    let field = |name: &str| conf.report.fields.iter().position(|f| f == name);
-    let c = conf.ceilings;
-    Ok(Settings {
-        me: conf.me,
-        balancers: conf.balancers,
-        zone: conf.zone,
-        kinds: conf.kinds.len(),
-        classes,
-        limits: Limits {
-            max_attempts: c.max_attempts,
-            second_copies: c.second_copies,
-            cancel: c.cancel,
-            probes: c.may_probe,
-            max_retry_after: if c.retry_after { c.max_retry_after } else { 0 },
-            connect_timeout: c.dial_timeout,
-        },
-        rules: RuleFigures {
-            cold_from: conf.invariants.start_capacity,
-            cold: conf.invariants.cold,
-            fall_multiple: conf.invariants.overload_factor,
-            fall: conf.invariants.fall,
-            full_may_have_run: conf.invariants.busy_is_no_proof,
-        },
-        prices: Prices { waste: conf.prices.waste },
-        marks_retry: conf.callers.marks_retry,
-        subscribe: conf.discovery == "subscribe",
-        tells_start: info.tells_start,
-        progress: info.progress,
-        tick: conf.round,
-        report: ReportFields {
-            util: field("cpu_share"),
-            free_slots: field("x0").filter(|_| info.report_x0.contains("free slots")),
-        },
-    })
-}
-
 fn run() -> Result<(), String> {
     let mut host = Host::default();
     let mut input = std::io::stdin().lock();
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -26,7 +26,7 @@
 pub enum Message<'a> {
     Create {
         salt: u64,
-        conf: Box<Conf>,
+        conf: serde_json::Value,
     },
     Kill {},
     Ledger {
@@ -135,120 +135,6 @@
     1.0
 }
 
-/// The settings of an instance; keys not named here are passed over.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Conf {
-    pub balancers: u32,
-    #[serde(default)]
-    pub me: u32,
-    #[serde(default)]
-    pub zone: usize,
-    #[serde(default)]
-    pub discovery: String,
-    #[serde(default)]
-    pub kinds: Vec<String>,
-    pub grades: Vec<Grade>,
-    pub ceilings: Ceilings,
-    pub invariants: Invariants,
-    #[serde(default)]
-    pub family_info: FamilyInfo,
-    #[serde(default)]
-    pub report: Report,
-    #[serde(default)]
-    pub prices: Prices,
-    #[serde(default)]
-    pub callers: Callers,
-    #[serde(default)]
-    pub round: i64,
-}
-
-/// A request class.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Grade {
-    pub aim: i64,
-    #[serde(default)]
-    pub aim_stretch: Option<f64>,
-    pub deadline: i64,
-    pub effect: String,
-    #[serde(default)]
-    pub dedup_scope: String,
-    #[serde(default)]
-    pub repeat_window: i64,
-    #[serde(default = "one")]
-    pub value: f64,
-    #[serde(default)]
-    pub late_value: f64,
-}
-
-/// What the site permits.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Ceilings {
-    #[serde(default)]
-    pub cancel: bool,
-    #[serde(default)]
-    pub dial_timeout: i64,
-    pub max_attempts: u32,
-    #[serde(default)]
-    pub max_retry_after: i64,
-    #[serde(default)]
-    pub may_probe: bool,
-    #[serde(default)]
-    pub retry_after: bool,
-    #[serde(default)]
-    pub second_copies: bool,
-}
-
-/// The figures of the rules.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Invariants {
-    #[serde(default)]
-    pub cold: i64,
-    #[serde(default)]
-    pub fall: i64,
-    #[serde(default = "one")]
-    pub overload_factor: f64,
-    #[serde(default = "one")]
-    pub start_capacity: f64,
-    #[serde(default)]
-    pub busy_is_no_proof: bool,
-}
-
-/// Facts about this kind of service.
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-pub struct FamilyInfo {
-    pub class_kind: Vec<i64>,
-    pub class_stretch: Vec<f64>,
-    pub progress: i64,
-    pub report_x0: String,
-    pub tells_start: bool,
-}
-
-/// Habits of clients.
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-pub struct Callers {
-    pub marks_retry: bool,
-}
-
-/// Points taken off the result.
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-pub struct Prices {
-    pub waste: f64,
-}
-
-/// The load reports.
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Report {
-    pub fields: Vec<String>,
-}
-
 /// The reply to a batch.
 #[derive(Serialize)]
 pub struct Reply {
--- /dev/null
+++ b/node/src/clock.rs
@@ -0,0 +1,32 @@
+//! The module's clock: Unix time in microseconds as it was at the start, and steady from there.
+//!
+//! The host group dates births in Unix time, so the module must count in it; but a clock that is set while
+//! the node runs must move no deadline.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use stepusher::Micros;
+
+/// One clock for deadlines on sockets and for the module.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    /// Starts it.
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: unix.as_micros() as Micros }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+
+    /// The same point in time for the sockets' timers.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(at.saturating_sub(self.unix).max(0) as u64)
+    }
+}
--- /dev/null
+++ b/node/src/desk.rs
@@ -0,0 +1,135 @@
+//! The desk: owns the one dispatcher and is the only caller of its `handle`.
+//!
+//! Events go in one by one, in the order in which they are told; each action is routed to the request, the
+//! timer, the probe or the log that it concerns. One event may act on many requests.
+
+use crate::clock::Clock;
+use crate::request::Mail;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future::or;
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use stepusher::{Action, Dispatcher, Event, Micros, RequestId, Settings, WorkerId};
+use tracing::{debug, info, warn};
+
+/// When a timer falls due, and its token.
+type Due = (Micros, u64);
+
+/// The dispatcher and the ways from it to those that carry its actions out.
+pub struct Desk {
+    /// The clock of all events.
+    pub clock: Clock,
+    state: RefCell<State>,
+    timers: Sender<Due>,
+    timers_set: Receiver<Due>,
+    probes: Sender<WorkerId>,
+}
+
+struct State {
+    dispatcher: Dispatcher,
+    requests: HashMap<RequestId, Sender<Mail>>,
+    next: u64,
+    actions: Vec<Action>,
+}
+
+impl Desk {
+    /// A desk that asks for probes through `probes`.
+    pub fn new(settings: Settings, seed: u64, clock: Clock, probes: Sender<WorkerId>) -> Desk {
+        let dispatcher = Dispatcher::new(settings, seed);
+        let state = State { dispatcher, requests: HashMap::new(), next: 0, actions: Vec::new() };
+        let (timers, timers_set) = async_channel::unbounded();
+        Desk { clock, state: RefCell::new(state), timers, timers_set, probes }
+    }
+
+    /// Numbers a request; its actions go to `mail` until it is closed.
+    pub fn open(&self, mail: Sender<Mail>) -> RequestId {
+        let mut state = self.state.borrow_mut();
+        let id = RequestId(state.next);
+        state.next += 1;
+        state.requests.insert(id, mail);
+        id
+    }
+
+    /// Forgets a request that has its answer and no execution.
+    pub fn close(&self, id: RequestId) {
+        self.state.borrow_mut().requests.remove(&id);
+    }
+
+    /// Requests that are not closed.
+    pub fn open_requests(&self) -> usize {
+        self.state.borrow().requests.len()
+    }
+
+    /// Feeds the dispatcher one event and routes what it does about it.
+    pub fn tell(&self, event: Event) {
+        let now = self.clock.now();
+        let state = &mut *self.state.borrow_mut();
+        debug!(?event, "event");
+        state.dispatcher.handle(now, event, &mut state.actions);
+        for action in state.actions.drain(..) {
+            debug!(?action, "action");
+            match action {
+                Action::Send { request, worker, timeout } => {
+                    // The module's time-out is relative and 0 for "until the client gives up": from here on
+                    // there are only deadlines.
+                    let deadline = if timeout == 0 { Micros::MAX } else { now.saturating_add(timeout) };
+                    post(&state.requests, request, Mail::Send { worker, deadline });
+                }
+                Action::Cancel { request, attempt } => {
+                    post(&state.requests, request, Mail::Cancel { attempt });
+                }
+                Action::Refuse { request, retry_after } => {
+                    post(&state.requests, request, Mail::Refuse { retry_after });
+                }
+                Action::Fail { request } => post(&state.requests, request, Mail::Fail),
+                Action::Timer { delay, token } => {
+                    // Only a desk that is being dropped has no one at the other end.
+                    let _ = self.timers.try_send((now.saturating_add(delay), token));
+                }
+                Action::Probe { worker } => {
+                    let _ = self.probes.try_send(worker);
+                }
+                // The watch on the host group always runs and asks again by itself.
+                Action::Watch => {}
+                Action::Log(text) => info!(target: "module", "{text}"),
+            }
+        }
+    }
+
+    /// Runs the dispatcher's timers, for ever.
+    pub async fn run_timers(&self) {
+        let mut pending: BTreeSet<(Micros, u64, u64)> = BTreeSet::new();
+        let mut number = 0;
+        loop {
+            let set = async { self.timers_set.recv().await.ok() };
+            let due = async {
+                match pending.first() {
+                    Some(&(at, ..)) => Timer::at(self.clock.instant(at)).await,
+                    None => std::future::pending().await,
+                };
+                None
+            };
+            if let Some((at, token)) = or(set, due).await {
+                number += 1;
+                pending.insert((at, number, token));
+            }
+            while let Some(&(at, _, token)) = pending.first()
+                && at <= self.clock.now()
+            {
+                pending.pop_first();
+                self.tell(Event::Timer(token));
+            }
+        }
+    }
+}
+
+/// An action may concern a request that was closed in the same moment; then nothing is left to do.
+fn post(requests: &HashMap<RequestId, Sender<Mail>>, id: RequestId, mail: Mail) {
+    match requests.get(&id) {
+        Some(sender) => {
+            let _ = sender.try_send(mail);
+        }
+        None => warn!(?id, ?mail, "an action for a request that is closed"),
+    }
+}
--- /dev/null
+++ b/node/src/execution.rs
@@ -0,0 +1,190 @@
+//! One execution: one attempt at a job on a server link, with its job lines.
+//!
+//! Dropping the future closes the link, which is how an execution is withdrawn.
+
+use crate::deadline::by;
+use crate::ending::Ending;
+use crate::http::{BODY_MOST, Fault, Head, Lines, Link, Start};
+use crate::node::Node;
+use crate::request::{Mail, Parcel};
+use async_channel::Sender;
+use serde::Deserialize;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use stepusher::WorkerId;
+
+/// The most that a job line may hold: a result is a body, and its text may be escaped.
+const LINE_MOST: usize = 2 * BODY_MOST;
+/// After the last job line the end of the answer follows at once, or the link is not worth keeping.
+const ANSWER_END: Duration = Duration::from_secs(1);
+
+/// What a job line says.
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase", tag = "state")]
+enum News {
+    Started,
+    Running {
+        #[serde(default)]
+        share: f64,
+    },
+    Done {
+        result: String,
+    },
+    Failed,
+    Returned,
+    Lost,
+}
+
+#[derive(Deserialize)]
+struct JobLine<'a> {
+    #[serde(borrow)]
+    id: std::borrow::Cow<'a, str>,
+    #[serde(flatten)]
+    news: News,
+}
+
+/// What the executor's answer has come to so far.
+enum Step {
+    Started,
+    Running(f64),
+    Over(Ending),
+}
+
+/// Where an execution goes, and until when.
+pub struct Order {
+    /// The number of the execution within its request.
+    pub attempt: u32,
+    /// The executor.
+    pub worker: WorkerId,
+    /// When the node stops waiting.
+    pub deadline: Instant,
+}
+
+/// Runs one execution and reports to the request's mailbox; the last report is how it ended.
+pub async fn run(node: Rc<Node>, parcel: Rc<Parcel>, order: Order, mail: Sender<Mail>) {
+    let Order { attempt, worker, deadline } = order;
+    let report = |m: Mail| {
+        // A request stays until its executions have ended, so there is always someone to read it.
+        let _ = mail.try_send(m);
+    };
+    let end = |ending: Ending| report(Mail::Ended { attempt, ending });
+    let mut server_link = match begin(&node, &parcel, worker, deadline).await {
+        Ok(link) => link,
+        Err(ending) => return end(ending),
+    };
+    let link = &mut server_link.link;
+    let mut answer = match by(deadline, Answer::begin(link)).await {
+        None => return end(Ending::Silent),
+        Some(Err(ending)) => return end(ending),
+        Some(Ok(answer)) => answer,
+    };
+    loop {
+        match by(deadline, answer.step(link, &parcel.id)).await {
+            None => return end(Ending::Silent),
+            Some(Step::Started) => report(Mail::Started { attempt }),
+            Some(Step::Running(share)) => report(Mail::Running { attempt, share }),
+            Some(Step::Over(ending)) => {
+                end(ending);
+                break;
+            }
+        }
+    }
+    if by(Instant::now() + ANSWER_END, answer.rest(link)).await == Some(true) {
+        node.links.put(worker, server_link);
+    }
+}
+
+/// Writes the request to a link, kept or new. Until its last byte is written it has never run.
+async fn begin(
+    node: &Node,
+    parcel: &Parcel,
+    worker: WorkerId,
+    deadline: Instant,
+) -> Result<crate::links::ServerLink, Ending> {
+    let address = node.host_group.address(worker).ok_or(Ending::NoAddress)?;
+    let mut link = match node.links.take(worker, address) {
+        Some(link) => link,
+        None => {
+            let up_by = deadline.min(Instant::now() + node.connect_limit);
+            by(up_by, node.links.open(address, &node.counters)).await.ok_or(Ending::ConnectLate)??
+        }
+    };
+    let left = deadline.saturating_duration_since(Instant::now());
+    let bytes = parcel.bytes(&address.to_string(), left);
+    match by(deadline, link.link.write(&bytes)).await {
+        Some(Ok(())) => Ok(link),
+        Some(Err(_)) => Err(Ending::BrokenUnwritten),
+        None => Err(Ending::LateUnwritten),
+    }
+}
+
+/// An executor's answer as it is read.
+struct Answer {
+    status: u16,
+    returned: bool,
+    keeps_alive: bool,
+    lines: Lines,
+}
+
+impl Answer {
+    async fn begin(link: &mut Link) -> Result<Answer, Ending> {
+        let head = link.head(Head::answer).await.map_err(Ending::unreadable)?;
+        let Start::Answer { status } = head.start else { return Err(Ending::Malformed) };
+        let returned = matches!(status, 503 | 504) && head.get("Not-Started") == Some("1");
+        let lines = Lines::new(head.body().map_err(Ending::unreadable)?, LINE_MOST);
+        Ok(Answer { status, returned, keeps_alive: head.keeps_alive(), lines })
+    }
+
+    async fn step(&mut self, link: &mut Link, id: &str) -> Step {
+        match self.status {
+            200 => {}
+            _ if self.returned => return Step::Over(Ending::Returned),
+            _ => return Step::Over(Ending::Failed),
+        }
+        loop {
+            match self.lines.next(link).await {
+                Err(fault) => return Step::Over(Ending::unreadable(fault)),
+                Ok(None) => return Step::Over(Ending::Cut),
+                Ok(Some(line)) if line.trim_ascii().is_empty() => {}
+                Ok(Some(line)) => return self.read(&line, id),
+            }
+        }
+    }
+
+    /// Reads one job line. After one that is not to be trusted the link is not used again.
+    fn read(&mut self, line: &[u8], id: &str) -> Step {
+        let Ok(line) = serde_json::from_slice::<JobLine<'_>>(line) else {
+            self.keeps_alive = false;
+            return Step::Over(Ending::Malformed);
+        };
+        if line.id != id {
+            self.keeps_alive = false;
+            return Step::Over(Ending::WrongId);
+        }
+        match line.news {
+            News::Started => Step::Started,
+            News::Running { share } => Step::Running(share),
+            News::Done { result } if result.len() > BODY_MOST => {
+                self.keeps_alive = false;
+                Step::Over(Ending::Oversize)
+            }
+            News::Done { result } => Step::Over(Ending::Done(result)),
+            News::Failed => Step::Over(Ending::Failed),
+            News::Returned => Step::Over(Ending::Returned),
+            News::Lost => Step::Over(Ending::Lost),
+        }
+    }
+
+    /// Reads to the end of the answer; whether the link can carry another request.
+    async fn rest(&mut self, link: &mut Link) -> bool {
+        while self.keeps_alive {
+            match self.lines.next(link).await {
+                Ok(Some(_)) => {}
+                Ok(None) => return true,
+                Err(Fault::Closed | Fault::Broken | Fault::Malformed) => return false,
+                Err(Fault::HeadTooLarge | Fault::BodyTooLarge) => return false,
+            }
+        }
+        false
+    }
+}
--- /dev/null
+++ b/node/src/front.rs
@@ -0,0 +1,291 @@
+//! The front: client links, HTTP in and out, `/health/ready`.
+
+use crate::deadline::by;
+use crate::http::{Body, Fault, Head, Link, Start};
+use crate::links::Permit;
+use crate::node::Node;
+use crate::request::{self, Answer, Job, Parcel};
+use async_io::{Async, Timer};
+use futures_lite::future::{or, yield_now};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use stepusher::Micros;
+use tracing::{debug, warn};
+
+/// A client must have sent its whole request this long after the first byte.
+const SLOW_SENDER: Duration = Duration::from_secs(10);
+/// A client must have taken its answer by then.
+const SLOW_READER: Duration = Duration::from_secs(10);
+/// A client link may stand idle for so long between requests.
+const IDLE: Duration = Duration::from_secs(120);
+/// How long a link that is given up is read on, so that the client sees the answer and not a reset.
+const LINGER: Duration = Duration::from_millis(500);
+/// How often an idle client link looks whether it is to be closed.
+const LOOK: Duration = Duration::from_millis(100);
+/// The pause of the accept loop when there is no descriptor for another link.
+const FULL_PAUSE: Duration = Duration::from_millis(10);
+/// The answer must reach the client before it gives up: the way there and back comes off its time.
+const CROSSING: Micros = 3_000;
+/// The longest time that a client can ask the node to wait.
+const LONGEST: f64 = 3_600e6;
+
+/// An answer on the wire.
+struct Response {
+    status: u16,
+    retry_after: Option<Micros>,
+    body: Vec<u8>,
+    close: bool,
+}
+
+impl Response {
+    fn new(status: u16) -> Response {
+        Response { status, retry_after: None, body: Vec::new(), close: false }
+    }
+
+    /// An answer to something that can't be a request; what follows it on the link can't be trusted.
+    fn fault(status: u16, text: &str) -> Response {
+        Response { body: format!("{text}\n").into_bytes(), close: true, ..Response::new(status) }
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let reason = match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            413 => "Content Too Large",
+            431 => "Request Header Fields Too Large",
+            502 => "Bad Gateway",
+            503 => "Service Unavailable",
+            _ => "Internal Server Error",
+        };
+        let mut head = format!("HTTP/1.1 {} {reason}\r\n", self.status);
+        if let Some(after) = self.retry_after {
+            head += &format!("Retry-After: {:.3}\r\n", after as f64 / 1e6);
+        }
+        if self.status == 405 {
+            head += if self.body.starts_with(b"GET") { "Allow: GET\r\n" } else { "Allow: POST\r\n" };
+        }
+        if self.close {
+            head += "Connection: close\r\n";
+        }
+        head += &format!("Content-Length: {}\r\n\r\n", self.body.len());
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+impl From<Answer> for Response {
+    fn from(answer: Answer) -> Response {
+        match answer {
+            Answer::Served(result) => Response { body: result.into_bytes(), ..Response::new(200) },
+            Answer::Throttled { retry_after } => {
+                Response { retry_after: Some(retry_after).filter(|&t| t > 0), ..Response::new(503) }
+            }
+            // Not 503 or 429: those say that trying again is harmless, and this job may have run.
+            Answer::Failed => Response::new(502),
+        }
+    }
+}
+
+/// Accepts client links until `stop` and then what still waits in the listener's queue.
+pub async fn accept(node: Rc<Node>, listener: Async<TcpListener>, stop: impl Future<Output = ()>) {
+    let forever = async {
+        loop {
+            let Some(permit) = room(&node) else {
+                Timer::after(FULL_PAUSE).await;
+                continue;
+            };
+            match listener.accept().await {
+                Ok((stream, _)) => begin(&node, stream, permit),
+                Err(error) => {
+                    // Too many descriptors, or a connection that ended in the queue: neither ends the loop.
+                    drop(permit);
+                    warn!(%error, "cannot accept");
+                    Timer::after(FULL_PAUSE).await;
+                }
+            }
+        }
+    };
+    or(forever, stop).await;
+    while let Ok((stream, _)) = listener.get_ref().accept()
+        && let Some(permit) = node.links.permit()
+        && let Ok(stream) = Async::new(stream)
+    {
+        begin(&node, stream, permit);
+    }
+}
+
+/// A descriptor for one more client link.
+fn room(node: &Node) -> Option<Permit> {
+    let room = node.client_links.get() < node.links.descriptors.clients_most();
+    if room { node.links.permit() } else { None }
+}
+
+fn begin(node: &Rc<Node>, stream: Async<TcpStream>, permit: Permit) {
+    node.counters.client_links.add();
+    node.client_links.set(node.client_links.get() + 1);
+    let node = node.clone();
+    node.clone().spawn(async move {
+        if let Ok(mut link) = Link::new(stream) {
+            client_link(&node, &mut link).await;
+        }
+        drop(permit);
+        node.client_links.set(node.client_links.get() - 1);
+    });
+}
+
+/// One client link: requests one after the other, until either side ends it.
+async fn client_link(node: &Rc<Node>, link: &mut Link) {
+    while arrives(node, link).await {
+        let begun = Instant::now();
+        let read = by(begun + SLOW_SENDER, read(node, link)).await;
+        let (mut response, keeps_alive) = match read {
+            None => (Response::fault(408, "the request came too slowly"), false),
+            Some(Err(Fault::Closed | Fault::Broken)) => return,
+            Some(Err(Fault::Malformed)) => (Response::fault(400, "not HTTP"), false),
+            Some(Err(Fault::HeadTooLarge)) => (Response::fault(431, "the head is too large"), false),
+            Some(Err(Fault::BodyTooLarge)) => (Response::fault(413, "the body is too large"), false),
+            Some(Ok(Read { parsed: Err(response), keeps_alive })) => (response, keeps_alive),
+            Some(Ok(Read { parsed: Ok(job), keeps_alive })) => {
+                let ticket = request::take(node, job);
+                let answer = or(async { Some(ticket.answer().await) }, async {
+                    link.ended().await;
+                    None
+                });
+                match answer.await {
+                    Some(Some(answer)) => (answer.into(), keeps_alive),
+                    Some(None) => (Response::new(500), false),
+                    None => {
+                        ticket.leave();
+                        return;
+                    }
+                }
+            }
+        };
+        if response.status / 100 == 4 {
+            node.counters.malformed.add();
+            debug!(response.status, body = %String::from_utf8_lossy(&response.body), "not taken");
+        }
+        response.close |= !keeps_alive || node.closing.get() || crowded(node);
+        let bytes = response.bytes();
+        if by(Instant::now() + SLOW_READER, link.write(&bytes)).await != Some(Ok(())) {
+            return;
+        }
+        if response.close {
+            by(Instant::now() + LINGER, link.linger()).await;
+            return;
+        }
+        // A client that sends without a pause must not keep the others waiting.
+        yield_now().await;
+    }
+}
+
+/// When client links are at their most, they are closed after an answer so that all get their turn.
+fn crowded(node: &Node) -> bool {
+    node.client_links.get() >= node.links.descriptors.clients_most()
+}
+
+/// Waits for the first byte of a request; false when the link is to be closed instead.
+async fn arrives(node: &Node, link: &mut Link) -> bool {
+    let since = Instant::now();
+    while link.pending() == 0 {
+        if node.closing.get() || since.elapsed() > IDLE || (crowded(node) && since.elapsed() > LOOK) {
+            return false;
+        }
+        if let Some(Err(_)) = by(Instant::now() + LOOK, link.fill()).await {
+            return false;
+        }
+    }
+    true
+}
+
+/// What was read: a job, or the answer to what is none.
+struct Read {
+    parsed: Result<Job, Response>,
+    keeps_alive: bool,
+}
+
+async fn read(node: &Node, link: &mut Link) -> Result<Read, Fault> {
+    let head = link.head(Head::request).await?;
+    let came = node.desk.clock.now();
+    let framing = head.body()?;
+    if framing != Body::Length(0)
+        && head.get("Expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"))
+    {
+        link.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+    }
+    let body = link.whole(framing).await?;
+    let keeps_alive = head.keeps_alive();
+    Ok(Read { parsed: parse(node, &head, body, came), keeps_alive })
+}
+
+/// Reads a request by the protocol.
+fn parse(node: &Node, head: &Head, body: Vec<u8>, came: Micros) -> Result<Job, Response> {
+    let Start::Request { method, target } = &head.start else {
+        return Err(Response::fault(400, "not a request"));
+    };
+    match (target.split('?').next().unwrap_or_default(), method.as_str()) {
+        ("/health/ready", "GET") => {
+            // The listener opens only once the list is loaded; a node that closes wants no new clients.
+            return Err(Response::new(if node.closing.get() { 503 } else { 200 }));
+        }
+        ("/health/ready", _) => return Err(Response { body: b"GET only\n".to_vec(), ..Response::new(405) }),
+        ("/api", "POST") => {}
+        ("/api", _) => return Err(Response { body: b"POST only\n".to_vec(), ..Response::new(405) }),
+        _ => return Err(Response::new(404)),
+    }
+    let bad = |name: &str| Response::fault(400, &format!("{name} is missing or does not read"));
+    let need = |name: &str| head.get(name).filter(|v| !v.is_empty()).ok_or_else(|| bad(name));
+    let id = need("Request-Id")?.to_string();
+    let class_name = need("Request-Class")?;
+    let class = node.classes.iter().position(|c| c.name == class_name).ok_or_else(|| bad("Request-Class"))?;
+    if !node.tenants.is_empty() && !node.tenants.iter().any(|t| Some(t.as_str()) == head.get("Tenant")) {
+        return Err(bad("Tenant"));
+    }
+    let wait = duration(need("Request-Timeout")?).ok_or_else(|| bad("Request-Timeout"))?;
+    let hint = match head.get("Work-Hint") {
+        Some(text) => Some(text.parse::<Micros>().map_err(|_| bad("Work-Hint"))?),
+        None => None,
+    };
+    let width = width(head.get("Request-Info").unwrap_or_default()).ok_or_else(|| bad("Request-Info"))?;
+    let mut headers = Vec::new();
+    if node.classes[class].keyed {
+        need("Idempotency-Key")?;
+    }
+    for name in ["Idempotency-Key", "Content-Type"] {
+        headers.extend(head.get(name).map(|value| (name, value.to_string())));
+    }
+    Ok(Job {
+        class,
+        due: came.saturating_add((wait - CROSSING).max(0)),
+        hint,
+        width,
+        resent: head.get("Client-Retry") == Some("1"),
+        parcel: Parcel { id, method: method.clone(), target: target.clone(), headers, body },
+    })
+}
+
+/// A number and a unit: `m` milliseconds or `u` microseconds.
+fn duration(text: &str) -> Option<Micros> {
+    let micros = match (text.strip_suffix('m'), text.strip_suffix('u')) {
+        (Some(number), _) => number.parse::<f64>().ok()? * 1e3,
+        (None, Some(number)) => number.parse::<f64>().ok()?,
+        (None, None) => return None,
+    };
+    (micros.is_finite() && micros >= 0.0).then(|| micros.min(LONGEST) as Micros)
+}
+
+/// The slots a job takes, as `slots=` in the further figures; 1 where they do not say.
+fn width(info: &str) -> Option<f64> {
+    for figure in info.split(',').filter(|f| !f.trim().is_empty()) {
+        let (name, value) = figure.split_once('=')?;
+        if matches!(name.trim(), "slots" | "width") {
+            return value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+        }
+    }
+    Some(1.0)
+}
--- /dev/null
+++ b/node/src/host_group.rs
@@ -0,0 +1,172 @@
+//! The host group: discovery's list of executors, and the watch on it.
+
+use crate::deadline::by;
+use crate::http::{Fault, Head, Lines, Link, Start};
+use crate::node::Node;
+use async_io::{Async, Timer};
+use sorrelhaven_config::{HostList, Names};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use stepusher::{Entry, Event, Lifecycle, Members, WorkerId};
+use tracing::{info, warn};
+
+/// The most that one line of the list may hold.
+const LINE_MOST: usize = 1024 * 1024;
+/// A watch says something every 2 s; one that does not is taken to be broken.
+const SILENCE: Duration = Duration::from_secs(3);
+/// The pause before a broken watch is asked for again doubles from the first to the last.
+const PAUSES: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(1600)];
+
+/// Numbers and addresses of all executors ever named.
+pub struct HostGroup {
+    names: Names,
+    known: RefCell<Known>,
+}
+
+#[derive(Default)]
+struct Known {
+    numbers: HashMap<String, WorkerId>,
+    addresses: Vec<Option<SocketAddr>>,
+}
+
+/// How one watch ended.
+enum WatchEnd {
+    Unreachable,
+    Silent,
+    Refused(u16),
+    Unreadable(Fault),
+    Malformed(serde_json::Error),
+}
+
+impl fmt::Display for WatchEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            WatchEnd::Unreachable => f.write_str("it could not be reached"),
+            WatchEnd::Silent => f.write_str("it fell silent"),
+            WatchEnd::Refused(status) => write!(f, "it answered {status}"),
+            WatchEnd::Unreadable(fault) => write!(f, "it could not be read: {fault:?}"),
+            WatchEnd::Malformed(error) => write!(f, "a malformed line: {error}"),
+        }
+    }
+}
+
+impl HostGroup {
+    /// Knows no executor yet.
+    pub fn new(names: Names) -> HostGroup {
+        HostGroup { names, known: RefCell::default() }
+    }
+
+    /// Where an executor listens.
+    pub fn address(&self, worker: WorkerId) -> Option<SocketAddr> {
+        self.known.borrow().addresses.get(worker.0 as usize).copied().flatten()
+    }
+
+    /// Takes in a list and gives its entries as the module takes them. An entry that does not read is
+    /// passed over: one odd host must not hide what the list says of the others.
+    pub fn learn(&self, list: &HostList) -> Vec<Entry> {
+        let known = &mut *self.known.borrow_mut();
+        let mut entries = Vec::new();
+        for host in &list.hosts {
+            let next = WorkerId(known.addresses.len() as u32);
+            match host.entry(known.numbers.get(&host.host).copied().unwrap_or(next), &self.names) {
+                Ok(entry) => {
+                    if entry.worker == next {
+                        known.numbers.insert(host.host.clone(), next);
+                        known.addresses.push(None);
+                    }
+                    if host.dial.is_some() {
+                        known.addresses[entry.worker.0 as usize] = host.dial;
+                    }
+                    entries.push(entry);
+                }
+                Err(error) => warn!(host = host.host, %error, "an entry that does not read"),
+            }
+        }
+        entries
+    }
+}
+
+/// Tells the module of a list, and drops the idle links to executors that are gone.
+fn tell(node: &Node, list: &HostList) {
+    let entries = node.host_group.learn(list);
+    for entry in entries.iter().filter(|e| e.lifecycle == Lifecycle::Gone) {
+        node.links.forget(entry.worker);
+    }
+    node.counters.lists.add();
+    let members = if list.whole { Members::Full(entries) } else { Members::Delta(entries) };
+    node.desk.tell(Event::Members(members));
+}
+
+/// Watches the list for ever. The old list stays in force while the watch is broken.
+pub async fn watch(node: Rc<Node>, discovery: SocketAddr, seq: u64) {
+    let mut after = Some(seq);
+    let mut pause = PAUSES[0];
+    loop {
+        let begun = Instant::now();
+        let end = match one_watch(&node, discovery, &mut after).await {
+            Ok(never) => match never {},
+            Err(end) => end,
+        };
+        node.counters.watches_broken.add();
+        warn!(%end, "the watch on the host group ended");
+        if matches!(end, WatchEnd::Malformed(_)) {
+            after = None;
+        }
+        if begun.elapsed() > 2 * SILENCE {
+            pause = PAUSES[0];
+        }
+        Timer::after(pause).await;
+        pause = (2 * pause).min(PAUSES[1]);
+    }
+}
+
+/// One watch, from its connection to its end. Without a version to go on from, it fetches the list first.
+async fn one_watch(
+    node: &Node,
+    discovery: SocketAddr,
+    after: &mut Option<u64>,
+) -> Result<std::convert::Infallible, WatchEnd> {
+    let mut link = by(Instant::now() + SILENCE, connect(discovery))
+        .await
+        .ok_or(WatchEnd::Silent)?
+        .map_err(|_| WatchEnd::Unreachable)?;
+    loop {
+        let query = after.map_or(String::new(), |seq| format!("?watch=1&after={seq}"));
+        let request = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
+        let begin = async {
+            link.write(request.as_bytes()).await?;
+            let head = link.head(Head::answer).await?;
+            Ok((head.start.clone(), Lines::new(head.body()?, LINE_MOST)))
+        };
+        let begun = by(Instant::now() + SILENCE, begin).await.ok_or(WatchEnd::Silent)?;
+        let (start, mut lines) = begun.map_err(WatchEnd::Unreadable)?;
+        if let Start::Answer { status } = start
+            && status != 200
+        {
+            return Err(WatchEnd::Refused(status));
+        }
+        loop {
+            let next = by(Instant::now() + SILENCE, lines.next(&mut link)).await.ok_or(WatchEnd::Silent)?;
+            match next.map_err(WatchEnd::Unreadable)? {
+                // The fetched list is complete, and a watch goes on from it; a watch itself has no end.
+                None if query.is_empty() && after.is_some() => break,
+                None => return Err(WatchEnd::Unreadable(Fault::Closed)),
+                Some(line) if line.trim_ascii().is_empty() => {}
+                Some(line) => {
+                    let list: HostList = serde_json::from_slice(&line).map_err(WatchEnd::Malformed)?;
+                    info!(seq = list.seq, whole = list.whole, hosts = list.hosts.len(), "host group");
+                    tell(node, &list);
+                    *after = Some(list.seq);
+                }
+            }
+        }
+    }
+}
+
+async fn connect(discovery: SocketAddr) -> std::io::Result<Link> {
+    Link::new(Async::<TcpStream>::connect(discovery).await?)
+}
--- /dev/null
+++ b/node/src/links.rs
@@ -0,0 +1,143 @@
+//! The pool of server links, and the descriptors that all links share.
+
+use crate::counters::Counters;
+use crate::ending::Ending;
+use crate::http::Link;
+use async_io::Async;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use stepusher::WorkerId;
+
+/// Descriptors kept for what is not a link: standard streams, the poller, the listener, the watch.
+const RESERVED: usize = 32;
+/// An idle server link is dropped this long before the executor may close it. A request that crosses the
+/// close would end as a reset, and a job that must not run twice could not be sent again.
+const KEEPALIVE_MARGIN: Duration = Duration::from_secs(2);
+
+/// The descriptors that links may hold.
+pub struct Descriptors {
+    most: usize,
+    used: Cell<usize>,
+}
+
+/// One descriptor of those; free again when dropped.
+pub struct Permit(Rc<Descriptors>);
+
+impl Descriptors {
+    /// A budget within `sockets`, the limit on the whole process.
+    pub fn new(sockets: usize) -> Rc<Descriptors> {
+        Rc::new(Descriptors { most: sockets.saturating_sub(RESERVED).max(2), used: Cell::new(0) })
+    }
+
+    /// The most client links: two thirds, so that clients alone can't leave the executors without.
+    pub fn clients_most(&self) -> usize {
+        self.most * 2 / 3
+    }
+
+    /// One descriptor, if one is free.
+    pub fn take(self: &Rc<Self>) -> Option<Permit> {
+        let free = self.used.get() < self.most;
+        free.then(|| {
+            self.used.set(self.used.get() + 1);
+            Permit(self.clone())
+        })
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.used.set(self.0.used.get() - 1);
+    }
+}
+
+/// A connection to an executor, with its descriptor.
+pub struct ServerLink {
+    /// The connection.
+    pub link: Link,
+    address: SocketAddr,
+    _permit: Permit,
+}
+
+struct Idle {
+    link: ServerLink,
+    until: Instant,
+}
+
+/// The pool.
+pub struct Links {
+    /// The descriptors of this node.
+    pub descriptors: Rc<Descriptors>,
+    keepalive: Duration,
+    idle: RefCell<HashMap<WorkerId, Vec<Idle>>>,
+}
+
+impl Links {
+    /// An empty pool; executors close links that stand idle for `keepalive`.
+    pub fn new(descriptors: Rc<Descriptors>, keepalive: Duration) -> Links {
+        let kept = keepalive.saturating_sub(KEEPALIVE_MARGIN.min(keepalive / 2));
+        Links { descriptors, keepalive: kept, idle: RefCell::default() }
+    }
+
+    /// An idle link to the executor that is fit for one more request; the one used last, so that the others
+    /// can grow old.
+    pub fn take(&self, worker: WorkerId, address: SocketAddr) -> Option<ServerLink> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&worker)?;
+        while let Some(Idle { link, until }) = links.pop() {
+            if link.address == address && Instant::now() < until && !link.link.disturbed() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// Opens a link.
+    pub async fn open(&self, address: SocketAddr, counters: &Counters) -> Result<ServerLink, Ending> {
+        let permit = self.permit().ok_or(Ending::NoDescriptor)?;
+        counters.server_links.add();
+        let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Ending::Unreachable)?;
+        let link = Link::new(stream).map_err(|_| Ending::Unreachable)?;
+        Ok(ServerLink { link, address, _permit: permit })
+    }
+
+    /// Takes a link back whose exchange is complete.
+    pub fn put(&self, worker: WorkerId, link: ServerLink) {
+        if !link.link.disturbed() {
+            let until = Instant::now() + self.keepalive;
+            self.idle.borrow_mut().entry(worker).or_default().push(Idle { link, until });
+        }
+    }
+
+    /// A descriptor; where none is free, that of the idle server link that would be dropped first.
+    pub fn permit(&self) -> Option<Permit> {
+        self.descriptors.take().or_else(|| {
+            self.free_oldest();
+            self.descriptors.take()
+        })
+    }
+
+    fn free_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].until);
+        if let Some(links) = oldest {
+            links.remove(0);
+        }
+    }
+
+    /// Drops the idle links that are old or that the executor has closed.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|_, links| {
+            links.retain(|l| now < l.until && !l.link.link.disturbed());
+            !links.is_empty()
+        });
+    }
+
+    /// Drops the idle links to an executor that takes no more work.
+    pub fn forget(&self, worker: WorkerId) {
+        self.idle.borrow_mut().remove(&worker);
+    }
+}
