Model tests of both links; a cut answer's link is not kept; idle links close on notice

Seen: the new model of a server link (node/src/tests/server_link.rs) failed on an answer that ends without a last line: node/src/execution.rs, `step`, gave `Cut` but left `keeps_alive` set, so `rest` put the link back in the pool.

Checked: the test failed before the fix and passes after it; every ending that breaks the protocol now goes through `distrust`. Idle client links no longer look every 100 ms whether to close: an event tells them, the longest idle first. Headers that travel on must stand once and be plain text, since an executor might read another of two.

--- a/node/src/execution.rs
+++ b/node/src/execution.rs
@@ -143,31 +143,33 @@
         }
         loop {
             match self.lines.next(link).await {
-                Err(fault) => return Step::Over(Ending::unreadable(fault)),
-                Ok(None) => return Step::Over(Ending::Cut),
+                Err(fault) => return self.distrust(Ending::unreadable(fault)),
+                Ok(None) => return self.distrust(Ending::Cut),
                 Ok(Some(line)) if line.trim_ascii().is_empty() => {}
                 Ok(Some(line)) => return self.read(&line, id),
             }
         }
     }
 
-    /// Reads one job line. After one that is not to be trusted the link is not used again.
+    /// The end of an answer that breaks the protocol: what else comes on the link may belong to anything,
+    /// so it is not used again.
+    fn distrust(&mut self, ending: Ending) -> Step {
+        self.keeps_alive = false;
+        Step::Over(ending)
+    }
+
+    /// Reads one job line.
     fn read(&mut self, line: &[u8], id: &str) -> Step {
         let Ok(line) = serde_json::from_slice::<JobLine<'_>>(line) else {
-            self.keeps_alive = false;
-            return Step::Over(Ending::Malformed);
+            return self.distrust(Ending::Malformed);
         };
         if line.id != id {
-            self.keeps_alive = false;
-            return Step::Over(Ending::WrongId);
+            return self.distrust(Ending::WrongId);
         }
         match line.news {
             News::Started => Step::Started,
             News::Running { share } => Step::Running(share),
-            News::Done { result } if result.len() > BODY_MOST => {
-                self.keeps_alive = false;
-                Step::Over(Ending::Oversize)
-            }
+            News::Done { result } if result.len() > BODY_MOST => self.distrust(Ending::Oversize),
             News::Done { result } => Step::Over(Ending::Done(result)),
             News::Failed => Step::Over(Ending::Failed),
             News::Returned => Step::Over(Ending::Returned),
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -21,8 +21,6 @@
 const IDLE: Duration = Duration::from_secs(120);
 /// How long a link that is given up is read on, so that the client sees the answer and not a reset.
 const LINGER: Duration = Duration::from_millis(500);
-/// How often an idle client link looks whether it is to be closed.
-const LOOK: Duration = Duration::from_millis(100);
 /// The pause of the accept loop when there is no descriptor for another link.
 const FULL_PAUSE: Duration = Duration::from_millis(10);
 /// The answer must reach the client before it gives up: the way there and back comes off its time.
@@ -96,6 +94,7 @@
     let forever = async {
         loop {
             let Some(permit) = room(&node) else {
+                node.close_idle.notify_additional(1);
                 Timer::after(FULL_PAUSE).await;
                 continue;
             };
@@ -170,7 +169,7 @@
             node.counters.malformed.add();
             debug!(response.status, body = %String::from_utf8_lossy(&response.body), "not taken");
         }
-        response.close |= !keeps_alive || node.closing.get() || crowded(node);
+        response.close |= !keeps_alive || node.closing() || crowded(node);
         let bytes = response.bytes();
         if by(Instant::now() + SLOW_READER, link.write(&bytes)).await != Some(Ok(())) {
             return;
@@ -191,16 +190,19 @@
 
 /// Waits for the first byte of a request; false when the link is to be closed instead.
 async fn arrives(node: &Node, link: &mut Link) -> bool {
-    let since = Instant::now();
-    while link.pending() == 0 {
-        if node.closing.get() || since.elapsed() > IDLE || (crowded(node) && since.elapsed() > LOOK) {
-            return false;
-        }
-        if let Some(Err(_)) = by(Instant::now() + LOOK, link.fill()).await {
-            return false;
-        }
+    let asked = node.close_idle.listen();
+    if link.pending() > 0 {
+        return true;
+    }
+    if node.closing() {
+        return false;
     }
-    true
+    let until = Instant::now() + IDLE;
+    let close = async {
+        asked.await;
+        false
+    };
+    by(until, or(async { link.fill().await.is_ok() }, close)).await.unwrap_or(false)
 }
 
 /// What was read: a job, or the answer to what is none.
@@ -231,7 +233,7 @@
     match (target.split('?').next().unwrap_or_default(), method.as_str()) {
         ("/health/ready", "GET") => {
             // The listener opens only once the list is loaded; a node that closes wants no new clients.
-            return Err(Response::new(if node.closing.get() { 503 } else { 200 }));
+            return Err(Response::new(if node.closing() { 503 } else { 200 }));
         }
         ("/health/ready", _) => return Err(Response { body: b"GET only\n".to_vec(), ..Response::new(405) }),
         ("/api", "POST") => {}
@@ -239,7 +241,11 @@
         _ => return Err(Response::new(404)),
     }
     let bad = |name: &str| Response::fault(400, &format!("{name} is missing or does not read"));
-    let need = |name: &str| head.get(name).filter(|v| !v.is_empty()).ok_or_else(|| bad(name));
+    // What travels on must be plain text, and given once: an executor might read another of two.
+    let need = |name: &str| match head.only(name) {
+        Some(value) if !value.is_empty() && value.bytes().all(|b| b.is_ascii_graphic()) => Ok(value),
+        _ => Err(bad(name)),
+    };
     let id = need("Request-Id")?.to_string();
     let class_name = need("Request-Class")?;
     let class = node.classes.iter().position(|c| c.name == class_name).ok_or_else(|| bad("Request-Class"))?;
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -100,6 +100,12 @@
         self.all(name).next()
     }
 
+    /// The value of a header that stands there once.
+    pub fn only(&self, name: &str) -> Option<&str> {
+        let mut values = self.all(name);
+        values.next().filter(|_| values.next().is_none())
+    }
+
     fn all(&self, name: &str) -> impl Iterator<Item = &str> {
         self.headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -13,6 +13,8 @@
 mod node;
 mod probe;
 mod request;
+#[cfg(test)]
+mod tests;
 
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -55,6 +57,7 @@
     let name = config.name.clone();
     let (node, probes) = Node::new(config);
     let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let listen = listener.get_ref().local_addr().unwrap_or(listen);
     info!(name, %listen, "ready");
 
     let at = node.clone();
@@ -93,7 +96,7 @@
         Timer::after(LAST_CLIENTS).await;
     };
     front::accept(node.clone(), listener, stop).await;
-    node.closing.set(true);
+    node.close();
     while node.client_links.get() > 0 || node.desk.open_requests() > 0 {
         Timer::after(CLOSING_LOOK).await;
     }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -7,12 +7,13 @@
 use crate::links::{Descriptors, Links};
 use async_channel::Receiver;
 use async_executor::{LocalExecutor, Task};
+use event_listener::Event;
 use futures_lite::future::{or, yield_now};
 use sorrelhaven_config::{ClassName, Config};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use stepusher::{Event, Members, WorkerId};
+use stepusher::{Event as ModuleEvent, Members, WorkerId};
 
 /// Ticks of the executor before the sockets are looked at again.
 const TICKS: usize = 64;
@@ -33,8 +34,9 @@
     pub tenants: Vec<String>,
     /// A connection not made within this time has failed.
     pub connect_limit: Duration,
-    /// Client links are closed between requests.
-    pub closing: Cell<bool>,
+    /// Each notice closes one client link that stands idle, the one that has stood for the longest first.
+    pub close_idle: Event,
+    closing: Cell<bool>,
     /// Client links that are open.
     pub client_links: Cell<usize>,
     urgent: LocalExecutor<'static>,
@@ -59,16 +61,28 @@
             classes: config.classes,
             tenants: config.tenants,
             connect_limit,
+            close_idle: Event::new(),
             closing: Cell::new(false),
             client_links: Cell::new(0),
             urgent: LocalExecutor::new(),
             ordinary: LocalExecutor::new(),
         };
         let entries = node.host_group.learn(&config.known);
-        node.desk.tell(Event::Members(Members::Cached(entries)));
+        node.desk.tell(ModuleEvent::Members(Members::Cached(entries)));
         (Rc::new(node), asked)
     }
 
+    /// From now on client links end between requests.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.close_idle.notify(usize::MAX);
+    }
+
+    /// Whether the node is about to end.
+    pub fn closing(&self) -> bool {
+        self.closing.get()
+    }
+
     /// Starts a task that nobody waits for.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
         self.ordinary.spawn(task).detach();
--- /dev/null
+++ b/node/src/tests/server_link.rs
@@ -0,0 +1,228 @@
+//! The server link as a model: what an executor does, and how the execution must end.
+
+use super::{check, shared};
+use crate::ending::Ending;
+use crate::execution::{self, Order};
+use crate::request::{Mail, Parcel};
+use proptest::prelude::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use stepusher::{Outcome, WorkerId};
+
+/// One thing that an executor writes, or does.
+#[derive(Clone, Debug)]
+enum Step {
+    Line(&'static str),
+    BlankLine,
+    Huge,
+    Close,
+}
+
+/// What an executor does with one request. After its last step it writes the end of its answer, or hangs.
+#[derive(Clone, Debug)]
+struct Conduct {
+    status: &'static str,
+    steps: Vec<Step>,
+    hangs: bool,
+    piece: usize,
+}
+
+const LINES: [&str; 10] = [
+    r#"{"id":"r1","from":"s-1","state":"started"}"#,
+    r#"{"id":"r1","from":"s-1","state":"started"}"#,
+    r#"{"id":"r1","from":"s-1","state":"running","share":0.4}"#,
+    r#"{"id":"r1","from":"s-1","state":"done","result":"ok\n"}"#,
+    r#"{"id":"r1","from":"s-1","state":"failed"}"#,
+    r#"{"id":"r1","from":"s-1","state":"returned"}"#,
+    r#"{"id":"r1","from":"s-1","state":"lost"}"#,
+    r#"{"id":"r2","from":"s-1","state":"done","result":"another's"}"#,
+    r#"{"id":"r1","from":"s-1","state":"dancing"}"#,
+    "not json",
+];
+
+fn conduct() -> impl Strategy<Value = Conduct> {
+    let line = prop::sample::select(LINES.to_vec()).prop_map(Step::Line);
+    let step =
+        prop_oneof![12 => line, 1 => Just(Step::BlankLine), 1 => Just(Step::Huge), 1 => Just(Step::Close)];
+    let status = prop::sample::select(vec![
+        "200 OK",
+        "200 OK",
+        "200 OK",
+        "200 OK",
+        "200 OK",
+        "500 Oops",
+        "503 Full",
+        "503 Full\r\nNot-Started: 1",
+        "504 Late\r\nNot-Started: 1",
+        "404 What",
+        "nonsense",
+    ]);
+    (status, prop::collection::vec(step, 0..4), prop::bool::weighted(0.1), 1usize..60)
+        .prop_map(|(status, steps, hangs, piece)| Conduct { status, steps, hangs, piece })
+}
+
+/// How the execution must end, and whether the link is fit for another.
+fn model(c: &Conduct) -> (Ending, bool) {
+    match c.status {
+        "200 OK" => {}
+        "nonsense" => return (Ending::Malformed, false),
+        s if s.contains("Not-Started") => return (Ending::Returned, whole(c, &c.steps)),
+        _ => return (Ending::Failed, whole(c, &c.steps)),
+    }
+    for (i, step) in c.steps.iter().enumerate() {
+        let ending = match step {
+            Step::BlankLine => continue,
+            Step::Close => return (Ending::Cut, false),
+            Step::Huge => return (Ending::Oversize, false),
+            Step::Line(line) => match LINES.iter().position(|l| l == line) {
+                Some(0..=2) => continue,
+                Some(3) => Ending::Done("ok\n".into()),
+                Some(4) => Ending::Failed,
+                Some(5) => Ending::Returned,
+                Some(6) => Ending::Lost,
+                Some(7) => return (Ending::WrongId, false),
+                _ => return (Ending::Malformed, false),
+            },
+        };
+        return (ending, whole(c, &c.steps[i..]));
+    }
+    (if c.hangs { Ending::Silent } else { Ending::Cut }, false)
+}
+
+/// Whether the rest of the answer comes to its end.
+fn whole(c: &Conduct, rest: &[Step]) -> bool {
+    !c.hangs && !rest.iter().any(|s| matches!(s, Step::Close | Step::Huge))
+}
+
+/// Plays an executor for one request.
+fn play(stream: &mut TcpStream, c: &Conduct) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut got = Vec::new();
+    while !got.ends_with(b"\r\n\r\nbody") {
+        let mut chunk = [0; 512];
+        match stream.read(&mut chunk)? {
+            0 => return Ok(()),
+            n => got.extend_from_slice(&chunk[..n]),
+        }
+    }
+    let mut wire = format!("HTTP/1.1 {}\r\nTransfer-Encoding: chunked\r\n\r\n", c.status).into_bytes();
+    let mut closes = false;
+    for step in &c.steps {
+        let line = match step {
+            Step::Line(line) => format!("{line}\n"),
+            Step::BlankLine => "\n".to_string(),
+            Step::Huge => "x".repeat(300_000),
+            Step::Close => {
+                closes = true;
+                break;
+            }
+        };
+        wire.extend_from_slice(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes());
+    }
+    if !closes && !c.hangs {
+        wire.extend_from_slice(b"0\r\n\r\n");
+    }
+    let piece = if wire.len() > 10_000 { 10_000 } else { c.piece };
+    for piece in wire.chunks(piece) {
+        stream.write_all(piece)?;
+    }
+    if c.hangs && !closes {
+        // Holds the connection until the node ends it.
+        while stream.read(&mut [0; 64])? > 0 {}
+    }
+    Ok(())
+}
+
+fn parcel() -> Rc<Parcel> {
+    let (id, method, target) = ("r1".to_string(), "POST".to_string(), "/api?x=1".to_string());
+    Rc::new(Parcel { id, method, target, headers: Vec::new(), body: b"body".to_vec() })
+}
+
+/// Runs one execution against `address` and gives how it ended, and how many links stand idle after.
+fn execute(address: std::net::SocketAddr, wait: Duration) -> (Ending, bool) {
+    let node = shared::node(address);
+    let (mail, inbox) = async_channel::unbounded();
+    let (worker, deadline) = (WorkerId(0), Instant::now() + wait);
+    let order = Order { attempt: 0, worker, deadline };
+    shared::run(&node, execution::run(node.clone(), parcel(), order, mail));
+    let endings: Vec<Ending> = std::iter::from_fn(|| inbox.try_recv().ok())
+        .filter_map(|m| if let Mail::Ended { ending, .. } = m { Some(ending) } else { None })
+        .collect();
+    assert_eq!(endings.len(), 1, "one outcome: {endings:?}");
+    (endings[0].clone(), node.links.take(worker, address).is_some())
+}
+
+#[test]
+fn an_execution_ends_as_the_model_says() {
+    check(160, conduct(), |c| {
+        let (ending, reusable) = model(&c);
+        let silent = ending == Ending::Silent;
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let (done, finished) = std::sync::mpsc::channel::<()>();
+        let case = c.clone();
+        let executor = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("the node connects");
+            // A node that has closed the link already makes the rest fail, as it should.
+            let _ = play(&mut stream, &case);
+            if !case.steps.iter().any(|s| matches!(s, Step::Close)) {
+                let _ = finished.recv();
+            }
+        });
+        let wait = Duration::from_millis(if silent { 150 } else { 20_000 });
+        let (ended, kept) = execute(address, wait);
+        drop(done);
+        executor.join().expect("the executor ends");
+        prop_assert_eq!(ended, ending);
+        prop_assert_eq!(kept, reusable);
+        Ok(())
+    });
+}
+
+/// A refused connection proves that the job never ran.
+#[test]
+fn a_refused_connection_never_ran() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address");
+    drop(listener);
+    let (ending, _) = execute(address, Duration::from_secs(20));
+    assert_eq!((ending.clone(), ending.outcome()), (Ending::Unreachable, Outcome::ConnectFailed));
+}
+
+/// An executor that does not read leaves the last byte unwritten: that, too, never ran.
+#[test]
+fn a_request_that_was_not_written_never_ran() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let node = shared::node(address);
+    let (mail, inbox) = async_channel::unbounded();
+    let mut parcel = Rc::into_inner(parcel()).expect("no one else has it");
+    // More than the buffers of both sockets take.
+    parcel.body = vec![b'x'; 64 << 20];
+    let order =
+        Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_millis(200) };
+    shared::run(&node, execution::run(node.clone(), Rc::new(parcel), order, mail));
+    let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
+    assert_eq!((ending.clone(), ending.outcome()), (Ending::LateUnwritten, Outcome::ConnectFailed));
+}
+
+/// Once written, a link that breaks may have let the job run: never "could not connect".
+#[test]
+fn a_stale_link_is_not_taken_and_not_sent_on_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let node = shared::node(address);
+    shared::run(&node, async {
+        let link = node.links.open(address, &node.counters).await.expect("a link");
+        node.links.put(WorkerId(0), link);
+    });
+    drop(listener.accept().expect("the node's link"));
+    let until = Instant::now() + Duration::from_secs(10);
+    while node.links.take(WorkerId(0), address).is_some_and(|link| {
+        node.links.put(WorkerId(0), link);
+        Instant::now() < until
+    }) {}
+    assert!(Instant::now() < until, "a link that the executor has closed was kept");
+}
--- /dev/null
+++ b/node/src/tests/shared.rs
@@ -0,0 +1,89 @@
+//! What the tests of both kinds of link share: a node in this thread, and heads and bodies.
+
+use crate::http::{Body, Fault, Head};
+use crate::node::Node;
+use futures_lite::future::or;
+use proptest::prelude::*;
+use sorrelhaven_config::Config;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A node that knows one executor, `s-1` at `dial`.
+pub fn node(dial: SocketAddr) -> Rc<Node> {
+    let text = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+            "limits":{{"sockets":256}},
+            "known":{{"seq":1,"hosts":[{{"host":"s-1","dial":"{dial}","health":"in_service"}}]}},
+            "settings":{{"balancers":1,"ceilings":{{"maxAttempts":3,"dialTimeout":250000}},"invariants":{{}},
+                "grades":[{{"name":"fee","aim":200000,"deadline":5000000,"effect":"at_most_once"}}]}}}}"#
+    );
+    Node::new(Config::parse(&text, |_| None).expect("a configuration")).0
+}
+
+/// Runs the node's tasks until `work` is done.
+pub fn run<T>(node: &Rc<Node>, work: impl Future<Output = T>) -> T {
+    async_io::block_on(or(work, async {
+        node.run().await;
+        unreachable!("a node's tasks run for ever")
+    }))
+}
+
+/// A body reads the same however the network cuts it, and ends exactly where it ends.
+#[test]
+fn a_chunked_body_reads_the_same_in_any_pieces() {
+    let chunks = prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 0..6);
+    super::check(256, (chunks, 1usize..9), |(chunks, step)| {
+        let mut wire = Vec::new();
+        for chunk in &chunks {
+            wire.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+            wire.extend_from_slice(chunk);
+            wire.extend_from_slice(b"\r\n");
+        }
+        wire.extend_from_slice(b"0\r\nX: y\r\n\r\nNEXT");
+        let (mut body, mut out, mut buffer) = (Body::Size, Vec::new(), Vec::new());
+        for piece in wire.chunks(step) {
+            buffer.extend_from_slice(piece);
+            let used = body.decode(&buffer, &mut out).expect("a sound body");
+            buffer.drain(..used);
+        }
+        prop_assert_eq!(body, Body::Done);
+        prop_assert_eq!(out, chunks.concat());
+        prop_assert_eq!(buffer, b"NEXT".to_vec());
+        Ok(())
+    });
+}
+
+/// Whatever comes, reading it ends in a value: a stranger's bytes must not stop the node.
+#[test]
+fn no_bytes_make_the_parsers_panic() {
+    let odd =
+        prop::sample::select(vec!["GET ", "HTTP/1.1 200", "\r\n", "0", "ffffffffffffffff", ":", ";", "\0"]);
+    let bytes =
+        prop_oneof![odd.prop_map(|s| s.as_bytes().to_vec()), prop::collection::vec(any::<u8>(), 0..9)];
+    super::check(512, prop::collection::vec(bytes, 0..12), |pieces| {
+        let bytes = pieces.concat();
+        let _ = (Head::request(&bytes), Head::answer(&bytes));
+        for mut body in [Body::Size, Body::Chunk(3), Body::ChunkEnd, Body::Trailer, Body::Length(5)] {
+            let used = body.decode(&bytes, &mut Vec::new());
+            prop_assert!(used.is_err() || used.is_ok_and(|n| n <= bytes.len()));
+        }
+        Ok(())
+    });
+}
+
+/// Two readers could take such a message apart differently, and smuggle one request inside another.
+#[test]
+fn a_message_with_two_lengths_is_malformed() {
+    for lengths in [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Content-Length: 3\r\nContent-Length: 4",
+        "Content-Length: +3",
+        "Content-Length: -1",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    ] {
+        let head = format!("POST /api HTTP/1.1\r\n{lengths}\r\n\r\n");
+        let (head, _) = Head::request(head.as_bytes()).expect("a head").expect("all of it");
+        assert_eq!(head.body().err(), Some(Fault::Malformed), "{lengths}");
+    }
+}
