--- a/node/src/tests/mod.rs
+++ b/node/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod client_link;
 mod server_link;
 mod shared;
+mod watch;
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
--- /dev/null
+++ b/node/tests/program.rs
@@ -0,0 +1,198 @@
+//! The program as it is started: its configuration, its answers, its signals and its exit.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::{Duration, Instant};
+
+fn config(dial: &str, effect: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","more":[1],
+            "known":{{"seq":1,"hosts":[{{"host":"s-1","dial":"{dial}","health":"in_service"}}]}},
+            "settings":{{"balancers":1,"ceilings":{{"maxAttempts":3,"retryAfter":true,"maxRetryAfter":2000000}},
+                "invariants":{{}},"familyInfo":{{"tellsStart":true}},
+                "grades":[{{"name":"issue","aim":200000,"deadline":5000000,"effect":"idempotent"}},
+                    {{"name":"fee","aim":200000,"deadline":5000000,"effect":"{effect}","lateValue":0.5}}]}}}}"#
+    )
+}
+
+fn start(config: &str, name: &str) -> Child {
+    let path = std::env::temp_dir().join(format!("sorrelhaven-{}-{name}.json", std::process::id()));
+    std::fs::write(&path, config).expect("a temporary file");
+    Command::new(env!("CARGO_BIN_EXE_sorrelhaven"))
+        .env_clear()
+        .env("RELAY_CONFIG", path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts")
+}
+
+/// A program that serves; ended when dropped, whatever the test came to.
+struct Running {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    address: String,
+}
+
+impl Running {
+    fn new(config: &str, name: &str) -> Running {
+        let mut child = start(config, name);
+        let log = BufReader::new(child.stderr.take().expect("its log"));
+        let mut running = Running { child, log, address: String::new() };
+        let line = running.line("ready");
+        running.address = line.rsplit("listen=").next().expect("its address").trim().to_string();
+        running
+    }
+
+    /// The next line of the log that holds `word`.
+    fn line(&mut self, word: &str) -> String {
+        let mut line = String::new();
+        while self.log.read_line(&mut line).expect("its log") > 0 {
+            if line.contains(word) {
+                return line;
+            }
+            line.clear();
+        }
+        panic!("no line with {word:?}");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &id]).status().expect("kill").success());
+    }
+
+    fn ask(&self, class: &str, timeout: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(&self.address).expect("it listens");
+        let head = format!("POST /api?a=b HTTP/1.1\r\nRequest-Id: q-1\r\nRequest-Class: {class}\r\n");
+        let rest =
+            format!("Request-Timeout: {timeout}\r\nIdempotency-Key: k\r\nContent-Length: 4\r\n\r\nbody");
+        stream.write_all((head + &rest).as_bytes()).expect("it reads");
+        stream
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Everything up to the blank line after a head and `body` bytes more.
+fn read(stream: &mut TcpStream, ends: &str) -> String {
+    let mut got = String::new();
+    let mut byte = [0];
+    while !got.ends_with(ends) && stream.read(&mut byte).expect("an answer") > 0 {
+        got.push(byte[0] as char);
+    }
+    got
+}
+
+fn executor() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    (listener, address)
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+}
+
+#[test]
+fn bad_configuration_ends_it_with_one_line_that_names_the_key() {
+    let good = config("127.0.0.1:1", "at_most_once");
+    let cases = [
+        (config("127.0.0.1:1", "often"), "settings.grades[1].effect: unknown effect"),
+        (config("nowhere", "at_most_once"), "known.hosts[0].dial: "),
+        (good.replace("\"seed\":\"1f\"", "\"seed\":\"xyz\""), "seed: "),
+        (good.replace("127.0.0.1:0", "here"), "listen: "),
+        (good.replace("\"maxAttempts\":3", "\"maxAttempts\":\"many\""), "settings.ceilings.maxAttempts: "),
+        (good.replace("\"balancers\":1,", ""), "settings: missing field `balancers`"),
+        ("no json".to_string(), "RELAY_CONFIG: "),
+    ];
+    for (i, (text, message)) in cases.iter().enumerate() {
+        let output = start(text, &format!("bad{i}")).wait_with_output().expect("it ends");
+        let log = String::from_utf8_lossy(&output.stderr).to_string();
+        assert!(!output.status.success());
+        assert_eq!(log.lines().count(), 1, "{log}");
+        assert!(log.starts_with(&format!("sorrelhaven: {message}")), "{log}");
+    }
+}
+
+/// A planned restart: what was taken is answered, clients may come for a while, and the exit is clean.
+#[test]
+fn a_term_signal_lets_all_that_was_taken_finish() {
+    let (listener, address) = executor();
+    let mut node = Running::new(&config(&address, "at_most_once"), "term");
+    let mut client = node.ask("fee", "5000m");
+    let (mut job, _) = listener.accept().expect("the job comes");
+    let got = read(&mut job, "body");
+    assert!(got.starts_with("POST /api?a=b HTTP/1.1\r\n"), "{got}");
+    assert!(got.contains("Request-Id: q-1\r\n") && got.contains("Idempotency-Key: k\r\n"), "{got}");
+    let started = chunk(r#"{"id":"q-1","state":"started"}"#);
+    job.write_all((HEAD.to_string() + &started).as_bytes()).expect("the node reads");
+    node.signal("USR1");
+    let counters = node.line("taken=");
+    assert!(counters.contains("taken=1 served=0") && counters.contains("sent=1 ok=0"), "{counters}");
+
+    let mut idle = TcpStream::connect(&node.address).expect("it listens");
+    node.signal("TERM");
+    node.line("closing");
+    idle.write_all(b"GET /nowhere HTTP/1.1\r\n\r\n").expect("an idle link still serves");
+    assert!(read(&mut idle, "\r\n\r\n").starts_with("HTTP/1.1 404 "));
+    assert_eq!(read(&mut idle, "never"), "", "the idle link ends");
+    let done = chunk(r#"{"id":"q-1","state":"done","result":"fine"}"#);
+    job.write_all((done + "0\r\n\r\n").as_bytes()).expect("the node reads");
+    let answer = read(&mut client, "\r\n\r\nfine");
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n") && answer.contains("Connection: close"), "{answer}");
+    let counters = node.line("taken=");
+    assert!(counters.contains("taken=1 served=1") && counters.contains("sent=1 ok=1"), "{counters}");
+    assert!(node.child.wait().expect("it ends").success());
+}
+
+/// A job that must not run twice and may have run: one execution, and a failure that says nothing of "again".
+#[test]
+fn a_job_that_may_have_run_is_not_sent_again() {
+    let (listener, address) = executor();
+    let node = Running::new(&config(&address, "at_most_once"), "once");
+    let mut client = node.ask("fee", "1500m");
+    let (mut job, _) = listener.accept().expect("the job comes");
+    read(&mut job, "body");
+    drop(job);
+    let answer = read(&mut client, "\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+    assert!(!answer.contains("Retry-After"), "{answer}");
+    listener.set_nonblocking(true).expect("a listener");
+    assert!(listener.accept().is_err(), "no second execution");
+}
+
+/// A request that the module gives up on is told so at once and when to come back, not held to its end.
+#[test]
+fn a_throttle_comes_at_once_and_says_when_to_come_back() {
+    let (listener, address) = executor();
+    drop(listener);
+    let node = Running::new(&config(&address, "at_most_once"), "throttle");
+    let begun = Instant::now();
+    let mut client = node.ask("issue", "0m");
+    let answer = read(&mut client, "\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Retry-After: 2.000\r\n"), "{answer}");
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
+
+/// A client that goes away frees its executor: the link to it is closed.
+#[test]
+fn a_client_that_leaves_withdraws_its_execution() {
+    let (listener, address) = executor();
+    let text = config(&address, "at_most_once").replace("\"maxAttempts\"", "\"cancel\":true,\"maxAttempts\"");
+    let mut node = Running::new(&text, "leave");
+    let client = node.ask("issue", "60000m");
+    let (mut job, _) = listener.accept().expect("the job comes");
+    read(&mut job, "body");
+    drop(client);
+    assert_eq!(read(&mut job, "never"), "", "the node ends the link");
+    node.signal("USR1");
+    let counters = node.line("taken=");
+    assert!(counters.contains("lapsed=1") && counters.contains("cancelled=1"), "{counters}");
+}
