--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -129,8 +129,8 @@
 
 /// The fewest descriptors that a node can work with.
 const LEAST_SOCKETS: usize = 64;
-/// The least memory that the bounds on all buffers are made for.
-const LEAST_MEMORY_MB: u64 = 128;
+/// The least memory that a node can work with.
+const LEAST_MEMORY_MB: u64 = 32;
 
 impl Config {
     /// Reads the file named by `RELAY_CONFIG`; the other variables come before the file's keys.
--- /dev/null
+++ b/config/tests/config.rs
@@ -0,0 +1,80 @@
+//! What a configuration may leave out, what comes first, and what each fault is called.
+
+use sorrelhaven_config::{Config, settings_from};
+use stepusher::{Effect, Scope};
+
+const SETTINGS: &str = r#"{"balancers":2,"me":1,"zones":["a","b"],"zone":1,"kinds":["k"],"new":{"x":[1]},
+    "ceilings":{"maxAttempts":3,"maxRetryAfter":2000000},"invariants":{},
+    "grades":[{"name":"fee","aim":1000,"deadline":5000000,"effect":"at_most_once"},
+        {"name":"issue","aim":1000,"deadline":5000000,"effect":"deduplicated","dedupScope":"cell","repeatWindow":9}]}"#;
+
+fn file(settings: &str) -> String {
+    let host =
+        r#"{"host":"s-1","dial":"10.1.0.18:8080","site":"b","class":"k","health":"in_service","born_ms":7}"#;
+    let known = format!(r#"{{"seq":4,"hosts":[{host}]}}"#);
+    format!(
+        r#"{{"name":"n","listen":"10.0.0.4:1","discovery":"10.2.0.1:2","seed":"1f","known":{known},"settings":{settings}}}"#
+    )
+}
+
+fn fault(text: &str) -> String {
+    Config::parse(text, |_| None).expect_err("a fault").to_string()
+}
+
+#[test]
+fn what_is_left_out_has_defaults_and_unknown_keys_pass() {
+    let config = Config::parse(&file(SETTINGS), |_| None).expect("a configuration");
+    assert_eq!((config.seed, config.sockets, config.keepalive), (0x1f, 1024, 15_000_000));
+    assert_eq!(config.settings.limits.max_retry_after, 0, "clients are told only where the site says so");
+    assert_eq!(config.settings.classes[1].effect, Effect::Keyed { scope: Scope::Cell, window: 9 });
+    assert_eq!(config.classes.iter().map(|c| c.keyed).collect::<Vec<_>>(), [false, true]);
+}
+
+#[test]
+fn births_are_microseconds_of_unix_time() {
+    let config = Config::parse(&file(SETTINGS), |_| None).expect("a configuration");
+    let entry = config.known.hosts[0].entry(stepusher::WorkerId(3), &config.names).expect("an entry");
+    assert_eq!((entry.born, entry.zone, entry.kind), (7_000, 1, 0));
+}
+
+#[test]
+fn the_environment_goes_before_the_file() {
+    let env = |name: &str| (name == "RELAY_LISTEN").then(|| "127.0.0.1:9".to_string());
+    let config = Config::parse(&file(SETTINGS), env).expect("a configuration");
+    assert_eq!((config.listen.port(), config.name.as_str()), (9, "n"));
+    let env = |name: &str| (name == "RELAY_LISTEN").then(|| "here".to_string());
+    let error = Config::parse(&file(SETTINGS), env).expect_err("a fault").to_string();
+    assert!(error.starts_with("RELAY_LISTEN: "), "{error}");
+}
+
+#[test]
+fn every_fault_names_its_key() {
+    let cases = [
+        ("\"balancers\":2", "\"balancers\":1", "settings.me: "),
+        ("\"zone\":1", "\"zone\":2", "settings.zone: "),
+        ("\"dedupScope\":\"cell\"", "\"dedupScope\":\"rack\"", "settings.grades[1].dedupScope: "),
+        ("\"deadline\":5000000", "\"deadline\":0", "settings.grades[0].deadline: "),
+        ("\"aim\":1000", "\"aim\":\"soon\"", "settings.grades[0].aim: "),
+        ("\"maxAttempts\":3", "\"maxAttempts\":0", "settings.ceilings.maxAttempts: "),
+        ("\"invariants\":{}", "\"invariants\":{\"startCapacity\":2}", "settings.invariants.startCapacity: "),
+        ("\"name\":\"issue\",", "", "settings.grades[1].name: "),
+    ];
+    for (good, bad, key) in cases {
+        assert!(SETTINGS.contains(good), "{good}");
+        let error = fault(&file(&SETTINGS.replacen(good, bad, 1)));
+        assert!(error.starts_with(key), "{error}");
+    }
+    let error = fault(&file(SETTINGS).replace("\"site\":\"b\"", "\"site\":\"c\""));
+    assert!(error.starts_with("known.hosts[0].site: "), "{error}");
+    let error =
+        fault(&file(SETTINGS).replace("\"name\":\"n\",", "\"limits\":{\"sockets\":8},\"name\":\"n\","));
+    assert!(error.starts_with("limits.sockets: "), "{error}");
+    assert!(!fault("{\n\"name\":\n}").contains('\n'), "one line");
+}
+
+#[test]
+fn the_wire_names_the_same_keys_below_its_own() {
+    let settings = SETTINGS.replace("at_most_once", "often");
+    let error = settings_from("conf", serde_json::from_str(&settings).expect("JSON")).expect_err("a fault");
+    assert_eq!(error.to_string(), "conf.grades[0].effect: unknown effect \"often\"");
+}
--- a/node/src/execution.rs
+++ b/node/src/execution.rs
@@ -109,8 +109,7 @@
             by(up_by, node.links.open(address, &node.counters)).await.ok_or(Ending::ConnectLate)??
         }
     };
-    let left = deadline.saturating_duration_since(Instant::now());
-    let bytes = parcel.bytes(&address.to_string(), left);
+    let bytes = parcel.bytes(&address.to_string(), deadline);
     match by(deadline, link.link.write(&bytes)).await {
         Some(Ok(())) => Ok(link),
         Some(Err(_)) => Err(Ending::BrokenUnwritten),
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -104,6 +104,7 @@
                     // Too many descriptors, or a connection that ended in the queue: neither ends the loop.
                     drop(permit);
                     warn!(%error, "cannot accept");
+                    node.close_idle.notify_additional(1);
                     Timer::after(FULL_PAUSE).await;
                 }
             }
--- a/node/src/request.rs
+++ b/node/src/request.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::Instant;
 use stepusher::{Arrival, Event, Micros, RequestId, WorkerId};
 
 /// A job as a front hands it in.
@@ -44,8 +44,9 @@
 }
 
 impl Parcel {
-    /// The whole message to the executor at `host`, which is told that the node waits for `left`.
-    pub fn bytes(&self, host: &str, left: Duration) -> Vec<u8> {
+    /// The whole message to the executor at `host`, which is told how long the node waits: to `deadline`.
+    pub fn bytes(&self, host: &str, deadline: Instant) -> Vec<u8> {
+        let left = deadline.saturating_duration_since(Instant::now());
         let mut head = format!("{} {} HTTP/1.1\r\nHost: {host}\r\n", self.method, self.target);
         let _ = write!(head, "Request-Id: {}\r\nRequest-Timeout: {}u\r\n", self.id, left.as_micros());
         for (name, value) in &self.headers {
