A model test of a request's life; waiting links hold no read buffer

Checked: the read moved to a plain function; buffers shrink after a large body. The new test plays random executors against the real module: one answer each, and at-most-once jobs are sent on only after a `returned`.

--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -251,21 +251,26 @@
     /// Waits for more bytes. Nothing is lost if the wait is dropped.
     pub async fn fill(&mut self) -> Result<(), Fault> {
         loop {
-            let mut chunk = [0; 8 * 1024];
-            match self.stream.get_ref().read(&mut chunk) {
-                Ok(0) => return Err(Fault::Closed),
-                Ok(n) => {
-                    self.buffer.extend_from_slice(&chunk[..n]);
-                    return Ok(());
+            match self.read() {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.stream.readable().await.map_err(|_| Fault::Broken)?;
                 }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return Err(Fault::Broken),
+                Ok(0) => return Err(Fault::Closed),
+                Ok(_) => return Ok(()),
             }
-            self.stream.readable().await.map_err(|_| Fault::Broken)?;
         }
     }
 
+    /// Takes what has come. Not in `fill`, where the piece would be part of every waiting task.
+    fn read(&mut self) -> io::Result<usize> {
+        let mut piece = [0; 8 * 1024];
+        let n = self.stream.get_ref().read(&mut piece)?;
+        self.buffer.extend_from_slice(&piece[..n]);
+        Ok(n)
+    }
+
     /// Waits until the other side has ended the connection; reads no further than one message ahead.
     pub async fn ended(&mut self) {
         while self.buffer.len() < HEAD_MOST + BODY_MOST {
@@ -338,6 +343,8 @@
                 return Err(Fault::BodyTooLarge);
             }
         }
+        // One large message must not leave every link with a large buffer for good.
+        self.buffer.shrink_to(HEAD_MOST);
         Ok(out)
     }
 }
--- /dev/null
+++ b/node/src/tests/request.rs
@@ -0,0 +1,76 @@
+//! A request's life with the real module: whatever the executor does, one answer, and no second run of a job
+//! that may have run.
+
+use super::server_link::{Conduct, conduct, model, play};
+use super::{check, shared};
+use crate::ending::Ending;
+use crate::request::{self, Answer, Job, Parcel};
+use proptest::prelude::*;
+use std::net::TcpListener;
+use std::sync::mpsc;
+
+/// Plays an executor that does one thing for each connection, and counts the requests.
+fn executor(listener: TcpListener, conducts: Vec<Conduct>, begun: mpsc::Sender<()>) {
+    for conduct in conducts.iter().cycle() {
+        let Ok((mut stream, _)) = listener.accept() else { return };
+        match play(&mut stream, conduct, || _ = begun.send(())) {
+            Ok(true) | Err(_) => {}
+            // The test's own connection, which says nothing, ends it.
+            Ok(false) => return,
+        }
+    }
+}
+
+#[test]
+fn a_job_that_must_not_run_twice_has_one_answer_and_one_run() {
+    check(24, prop::collection::vec(conduct(), 1..4), |conducts| {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let (begun, count) = mpsc::channel();
+        let script = conducts.clone();
+        let (ended, end) = async_channel::bounded::<()>(1);
+        let executor = std::thread::spawn(move || {
+            executor(listener, script, begun);
+            drop(ended);
+        });
+        let node = shared::node(address);
+        let at = node.clone();
+        node.spawn_urgent(async move { at.desk.run_timers().await });
+        let parcel = Parcel {
+            id: "r1".into(),
+            method: "POST".into(),
+            target: "/api".into(),
+            headers: Vec::new(),
+            body: b"body".to_vec(),
+        };
+        let due = node.desk.clock.now() + 400_000;
+        let job = Job { class: 0, due, hint: Some(50_000), width: 1.0, resent: false, parcel };
+        let ticket = request::take(&node, job);
+        let answer = shared::run(&node, ticket.answer());
+        let late = node.desk.clock.now() - due;
+        // All that is out must come to its end, too.
+        shared::run(&node, async {
+            while node.desk.open_requests() > 0 {
+                futures_lite::future::yield_now().await;
+            }
+            drop(std::net::TcpStream::connect(address));
+            _ = end.recv().await;
+        });
+        executor.join().expect("the executor ends");
+        let runs = count.iter().count();
+        let endings: Vec<Ending> = conducts.iter().cycle().take(runs).map(|c| model(c).0).collect();
+        prop_assert!(late < 1_000_000, "an answer {} us late", late);
+        if let Some((last, before)) = endings.split_last() {
+            prop_assert!(before.iter().all(|e| *e == Ending::Returned), "sent again after {:?}", before);
+            match (last, &answer) {
+                (Ending::Done(result), Some(Answer::Served(got))) => prop_assert_eq!(result, got),
+                (Ending::Returned, Some(Answer::Throttled { .. })) => {}
+                (Ending::Done(_) | Ending::Returned, _) => {
+                    prop_assert!(false, "{:?} gave {:?}", last, answer)
+                }
+                (_, answer) => prop_assert_eq!(answer, &Some(Answer::Failed)),
+            }
+        }
+        Ok(())
+    });
+}
--- a/node/src/tests/server_link.rs
+++ b/node/src/tests/server_link.rs
@@ -13,7 +13,7 @@
 
 /// One thing that an executor writes, or does.
 #[derive(Clone, Debug)]
-enum Step {
+pub enum Step {
     Line(&'static str),
     BlankLine,
     Huge,
@@ -22,7 +22,7 @@
 
 /// What an executor does with one request. After its last step it writes the end of its answer, or hangs.
 #[derive(Clone, Debug)]
-struct Conduct {
+pub struct Conduct {
     status: &'static str,
     steps: Vec<Step>,
     hangs: bool,
@@ -42,7 +42,7 @@
     "not json",
 ];
 
-fn conduct() -> impl Strategy<Value = Conduct> {
+pub fn conduct() -> impl Strategy<Value = Conduct> {
     let line = prop::sample::select(LINES.to_vec()).prop_map(Step::Line);
     let step =
         prop_oneof![12 => line, 1 => Just(Step::BlankLine), 1 => Just(Step::Huge), 1 => Just(Step::Close)];
@@ -64,7 +64,7 @@
 }
 
 /// How the execution must end, and whether the link is fit for another.
-fn model(c: &Conduct) -> (Ending, bool) {
+pub fn model(c: &Conduct) -> (Ending, bool) {
     match c.status {
         "200 OK" => {}
         "nonsense" => return (Ending::Malformed, false),
@@ -96,17 +96,18 @@
     !c.hangs && !rest.iter().any(|s| matches!(s, Step::Close | Step::Huge))
 }
 
-/// Plays an executor for one request.
-fn play(stream: &mut TcpStream, c: &Conduct) -> std::io::Result<()> {
+/// Plays an executor for one request; false if none came.
+pub fn play(stream: &mut TcpStream, c: &Conduct, begun: impl FnOnce()) -> std::io::Result<bool> {
     stream.set_nodelay(true)?;
     let mut got = Vec::new();
     while !got.ends_with(b"\r\n\r\nbody") {
         let mut chunk = [0; 512];
         match stream.read(&mut chunk)? {
-            0 => return Ok(()),
+            0 => return Ok(false),
             n => got.extend_from_slice(&chunk[..n]),
         }
     }
+    begun();
     let mut wire = format!("HTTP/1.1 {}\r\nTransfer-Encoding: chunked\r\n\r\n", c.status).into_bytes();
     let mut closes = false;
     for step in &c.steps {
@@ -132,7 +133,7 @@
         // Holds the connection until the node ends it.
         while stream.read(&mut [0; 64])? > 0 {}
     }
-    Ok(())
+    Ok(true)
 }
 
 fn parcel() -> Rc<Parcel> {
@@ -166,7 +167,7 @@
         let executor = std::thread::spawn(move || {
             let (mut stream, _) = listener.accept().expect("the node connects");
             // A node that has closed the link already makes the rest fail, as it should.
-            let _ = play(&mut stream, &case);
+            let _ = play(&mut stream, &case, || {});
             if !case.steps.iter().any(|s| matches!(s, Step::Close)) {
                 let _ = finished.recv();
             }
