Held jobs that can still meet their aim go before those that cannot

Ruled out: links, lost events, latency (128 us), refusals (few).

Now `hold` orders by the latest start that meets the aim; what can't meet it any more goes behind, by its deadline. Nothing is given up earlier than before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,6 +47,8 @@
 const WATCH_PAUSE: Micros = 250_000;
 /// Held requests that may find no room before the search stops: the next ones would mostly find none either.
 const HELD_TRIES: usize = 3;
+/// Added to the place of a held request that can no longer meet its aim.
+const LATE: Micros = 1 << 60;
 /// Withdrawn attempts allowed per request, and saved up at most: where a cancel stops no work each one adds
 /// load, and in an overload they would feed it. The price of waste comes off: where it is dear, none.
 const REPEATS: f64 = 0.1;
@@ -132,6 +134,7 @@
     hinted: bool,
     width: f64,
     due: Micros,
+    aim: Micros,
     wanted: Micros,
     attempts: u32,
     out: Option<(WorkerId, u32)>,
@@ -227,10 +230,7 @@
             Event::Timer(_) if now < self.armed => return,
             Event::Timer(_) => {
                 self.armed = Micros::MAX;
-                while let Some(&(at, id)) = self.checks.first() {
-                    if at > now {
-                        break;
-                    }
+                while let Some(&(_, id)) = self.checks.first().filter(|c| c.0 <= now) {
                     self.checks.pop_first();
                     self.check(now, id, actions);
                 }
@@ -431,12 +431,10 @@
         r.sort_unstable();
         self.shared_timeouts = r.get(r.len() / 2).copied().unwrap_or(0);
         let kind = self.settings.classes[class].kind;
-        let mut ranked: Vec<(f64, WorkerId)> = Vec::new();
         let fits = |id: &&WorkerId| kind.is_none_or(|k| k == self.worker(**id).entry.kind);
         let group = if self.set.iter().any(|id| fits(&id)) { &self.set } else { &self.ring };
-        for &id in group.iter().filter(fits) {
-            ranked.push((self.penalised(self.worker(id), class, now), id));
-        }
+        let rated = |&id: &WorkerId| (self.penalised(self.worker(id), class, now), id);
+        let mut ranked: Vec<(f64, WorkerId)> = group.iter().filter(fits).map(rated).collect();
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         self.order[class] = ranked.into_iter().map(|(_, id)| id).collect();
     }
@@ -568,14 +566,15 @@
         self.try_length[class] = self.try_length[class].max(a.due.saturating_sub(now));
         let first = self.settings.marks_retry && !a.resent;
         let origin = if first { now } else { now.min(a.due.saturating_sub(self.try_length[class])) };
-        let wanted = origin.saturating_add(spec.aim).saturating_add((spec.stretch * size) as Micros);
-        let wanted = if spec.late_worth > 0.0 { a.due } else { wanted.min(a.due) };
+        let aim = origin.saturating_add(spec.aim).saturating_add((spec.stretch * size) as Micros).min(a.due);
+        let wanted = if spec.late_worth > 0.0 { a.due } else { aim };
         let request = Request {
             class,
             size,
             hinted: hint.is_some(),
             width: if a.width.is_finite() { a.width.clamp(0.0, 1024.0) } else { 1.0 },
             due: a.due,
+            aim,
             wanted,
             ..Request::default()
         };
@@ -593,13 +592,21 @@
         } else if let Some(worker) = self.pick(id, now) {
             self.send(now, id, worker, actions);
         } else {
-            let at = self.latest_start(id);
-            let i = self.held.partition_point(|&h| h < (at, id));
-            self.held.insert(i, (at, id));
-            self.check_at(id, at);
+            self.hold(now, id);
+            self.check_at(id, self.latest_start(id));
         }
     }
 
+    /// Queues a request, the most urgent first; one that can no longer meet its aim goes behind all that can.
+    /// Guards against a backlog in which each job waits for its deadline's sake until it is late.
+    fn hold(&mut self, now: Micros, id: RequestId) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let (at, spare) = (self.latest_start(id), r.wanted - r.aim);
+        let at = if at - spare > now { at - spare } else { at.saturating_add(LATE) };
+        let i = self.held.partition_point(|&h| h < (at, id));
+        self.held.insert(i, (at, id));
+    }
+
     fn send(&mut self, now: Micros, id: RequestId, worker: WorkerId, actions: &mut Vec<Action>) {
         let cold = self.warmth(self.worker(worker), now) < 1.0;
         let w = self.worker(worker);
@@ -674,11 +681,8 @@
             return;
         }
         r.out = None;
-        let never_ran = match outcome {
-            Outcome::Full => !full_ran,
-            Outcome::ConnectFailed | Outcome::Moot => true,
-            _ => false,
-        };
+        let unseen = matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
+        let never_ran = unseen || outcome == Outcome::Full && !full_ran;
         if !never_ran && r.ran.is_none() {
             r.ran = Some((worker, now - took));
         }
@@ -760,9 +764,8 @@
         let Some(r) = self.requests.get(&id) else { return };
         let harmless = r.out.is_none() && r.ran.is_none();
         let refuse = match self.settings.classes[r.class].effect {
-            Effect::Safe => true,
-            Effect::Keyed { scope, .. } => harmless || scope == Scope::All,
-            Effect::Unsafe => harmless,
+            Effect::Safe | Effect::Keyed { scope: Scope::All, .. } => true,
+            _ => harmless,
         };
         if refuse {
             let retry_after = self.settings.limits.max_retry_after;
@@ -954,22 +957,21 @@
     /// Sends what is held as soon as there is room, the most urgent first. Tries that find none are few, so
     /// that a long queue costs no more than a short one.
     fn place_held(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let mut misses = 0;
         let mut i = 0;
         if !self.set.iter().any(|&id| self.room(id, now)) {
             return;
         }
-        while i < self.held.len() && misses < HELD_TRIES {
+        while let Some(&(_, id)) = self.held.first().filter(|h| h.0 <= now) {
+            self.held.remove(0);
+            self.hold(now, id);
+        }
+        while i < self.held.len().min(HELD_TRIES) {
             let id = self.held[i].1;
-            match self.pick(id, now) {
-                Some(worker) => {
-                    self.held.remove(i);
-                    self.send(now, id, worker, actions);
-                }
-                None => {
-                    misses += 1;
-                    i += 1;
-                }
+            if let Some(worker) = self.pick(id, now) {
+                self.held.remove(i);
+                self.send(now, id, worker, actions);
+            } else {
+                i += 1;
             }
         }
     }
