--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -32,13 +32,14 @@
 struct Response {
     status: u16,
     retry_after: Option<Micros>,
+    allow: Option<&'static str>,
     body: Vec<u8>,
     close: bool,
 }
 
 impl Response {
     fn new(status: u16) -> Response {
-        Response { status, retry_after: None, body: Vec::new(), close: false }
+        Response { status, retry_after: None, allow: None, body: Vec::new(), close: false }
     }
 
     /// An answer to something that can't be a request; what follows it on the link can't be trusted.
@@ -63,8 +64,8 @@
         if let Some(after) = self.retry_after {
             head += &format!("Retry-After: {:.3}\r\n", after as f64 / 1e6);
         }
-        if self.status == 405 {
-            head += if self.body.starts_with(b"GET") { "Allow: GET\r\n" } else { "Allow: POST\r\n" };
+        if let Some(method) = self.allow {
+            head += &format!("Allow: {method}\r\n");
         }
         if self.close {
             head += "Connection: close\r\n";
@@ -236,9 +237,9 @@
             // The listener opens only once the list is loaded; a node that closes wants no new clients.
             return Err(Response::new(if node.closing() { 503 } else { 200 }));
         }
-        ("/health/ready", _) => return Err(Response { body: b"GET only\n".to_vec(), ..Response::new(405) }),
+        ("/health/ready", _) => return Err(Response { allow: Some("GET"), ..Response::new(405) }),
         ("/api", "POST") => {}
-        ("/api", _) => return Err(Response { body: b"POST only\n".to_vec(), ..Response::new(405) }),
+        ("/api", _) => return Err(Response { allow: Some("POST"), ..Response::new(405) }),
         _ => return Err(Response::new(404)),
     }
     let bad = |name: &str| Response::fault(400, &format!("{name} is missing or does not read"));
