SIGHUP reads the configuration again and moves the watch; nothing ends

Checked: main registered no handler for SIGHUP (node/src/main.rs, Signals::new), so the system's default ended it. Ruled out: the watch, which closed as it should before. RELAY_DISCOVERY is in the environment, which a running program can't be told anew, so a reload lets a discovery that has changed in the file go before it. Lines at fault: node/src/main.rs start and serve; host_group::watch took its address once. Tests: a_reload_moves_the_watch_and_loses_nothing fails before (the node ends), a_reload_takes_discovery_and_limits_and_names_what_waits.

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -125,8 +125,12 @@
     pub keepalive: Micros,
     /// What the decision module is told.
     pub settings: Settings,
+    /// The file as it was written, for a reload to compare.
+    written: Value,
 }
 
+/// The keys of the file that only a restart takes over: the module and the listener live on through a reload.
+const RESTART_KEYS: [&str; 5] = ["name", "listen", "seed", "known", "settings"];
 /// The fewest descriptors that a node can work with.
 const LEAST_SOCKETS: usize = 64;
 /// The least memory that a node can work with.
@@ -135,16 +139,36 @@
 impl Config {
     /// Reads the file named by `RELAY_CONFIG`; the other variables come before the file's keys.
     pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, Error> {
-        let path = env("RELAY_CONFIG").ok_or_else(|| Error::new("RELAY_CONFIG", "not set"))?;
-        let text = std::fs::read_to_string(&path)
-            .map_err(|e| Error::new("RELAY_CONFIG", format!("cannot read {path}: {e}")))?;
-        Config::parse(&text, env)
+        Config::parse(&text(&env)?, env)
+    }
+
+    /// Reads the file again and takes over `discovery` and `limits`, or nothing where any of it is at fault.
+    /// Gives the keys whose change waits for a restart. A `discovery` that has changed in the file goes before
+    /// the variable, which can't follow: it stays what it was when the program started.
+    pub fn reload(&mut self, env: impl Fn(&str) -> Option<String>) -> Result<Vec<&'static str>, Error> {
+        let value = value(&text(&env)?)?;
+        let changed = |key: &str| value.get(key) != self.written.get(key);
+        let moved = changed("discovery") && value.get("discovery").is_some();
+        let waiting = RESTART_KEYS.into_iter().filter(|&key| changed(key)).collect();
+        let env = |name: &str| if moved && name == "RELAY_DISCOVERY" { None } else { env(name) };
+        let next = Config::checked(value, env)?;
+        if moved {
+            self.discovery = next.discovery;
+        }
+        self.sockets = next.sockets;
+        for key in ["discovery", "limits"] {
+            self.written[key] = next.written[key].clone();
+        }
+        Ok(waiting)
     }
 
     /// Reads a configuration's text.
     pub fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, Error> {
-        let value: Value = serde_json::from_str(text).map_err(|e| Error::new("RELAY_CONFIG", e))?;
-        let file: File = read("", value)?;
+        Config::checked(value(text)?, env)
+    }
+
+    fn checked(written: Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, Error> {
+        let file: File = read("", written.clone())?;
         let told = |variable: &str, key: &str, value: Option<String>| match env(variable) {
             Some(text) => Ok((variable.to_string(), text)),
             None => value.map(|v| (key.to_string(), v)).ok_or_else(|| Error::new(key, "missing")),
@@ -187,10 +211,21 @@
             tenants,
             keepalive,
             settings,
+            written,
         })
     }
 }
 
+/// The text of the file named by `RELAY_CONFIG`.
+fn text(env: &impl Fn(&str) -> Option<String>) -> Result<String, Error> {
+    let path = env("RELAY_CONFIG").ok_or_else(|| Error::new("RELAY_CONFIG", "not set"))?;
+    std::fs::read_to_string(&path).map_err(|e| Error::new("RELAY_CONFIG", format!("cannot read {path}: {e}")))
+}
+
+fn value(text: &str) -> Result<Value, Error> {
+    serde_json::from_str(text).map_err(|e| Error::new("RELAY_CONFIG", e))
+}
+
 /// The seed is written in hexadecimal digits, or as a plain number.
 fn seed(value: Option<Value>) -> Result<u64, Error> {
     match value {
--- a/config/tests/config.rs
+++ b/config/tests/config.rs
@@ -47,6 +47,38 @@
     assert!(error.starts_with("RELAY_LISTEN: "), "{error}");
 }
 
+/// A reload takes over what it can whole, or nothing; the rest is named and waits for a restart.
+#[test]
+fn a_reload_takes_discovery_and_limits_and_names_what_waits() {
+    let path = std::env::temp_dir().join(format!("sorrelhaven-reload-{}.json", std::process::id()));
+    let env = |name: &str| match name {
+        "RELAY_CONFIG" => Some(path.display().to_string()),
+        // It tells where discovery was when the program started.
+        "RELAY_DISCOVERY" => Some("10.2.0.1:9".to_string()),
+        _ => None,
+    };
+    let write = |text: &str| std::fs::write(&path, text).expect("a temporary file");
+    let first = file(SETTINGS);
+    write(&first);
+    let mut config = Config::load(env).expect("a configuration");
+    assert_eq!(config.reload(env).expect("the same again"), [""; 0]);
+    assert_eq!(config.discovery.port(), 9, "what has not changed moves nothing");
+
+    let moved = first.replace("10.2.0.1:2", "10.2.0.1:3");
+    for bad in ["{", &moved.replace("10.2.0.1:3", "there"), &moved.replace("\"fee\"", "7")] {
+        write(bad);
+        config.reload(env).expect_err("a fault");
+        assert_eq!((config.discovery.port(), config.sockets), (9, 1024), "the old stays in force");
+    }
+    let limits = "\"limits\":{\"sockets\":300},\"seed\":\"2f\"";
+    write(&moved.replace("\"seed\":\"1f\"", limits));
+    for _ in 0..2 {
+        assert_eq!(config.reload(env).expect("a configuration"), ["seed"]);
+        assert_eq!((config.discovery.port(), config.sockets, config.seed), (3, 300, 0x1f));
+    }
+    std::fs::remove_file(&path).expect("it was there");
+}
+
 #[test]
 fn every_fault_names_its_key() {
     let cases = [
--- a/node/src/host_group.rs
+++ b/node/src/host_group.rs
@@ -3,7 +3,9 @@
 use crate::deadline::by;
 use crate::http::{Fault, Head, Lines, Link, Start};
 use crate::node::Node;
+use async_channel::Receiver;
 use async_io::{Async, Timer};
+use futures_lite::future::or;
 use sorrelhaven_config::{HostList, Names};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -101,26 +103,41 @@
     node.desk.tell(Event::Members(members));
 }
 
-/// Watches the list for ever. The old list stays in force while the watch is broken.
-pub async fn watch(node: Rc<Node>, discovery: SocketAddr, seq: u64) {
+/// Watches the list for ever, at the agent that `moved` named last. The old list stays in force while the
+/// watch is broken, and after a move until the new agent speaks.
+pub async fn watch(node: Rc<Node>, mut discovery: SocketAddr, seq: u64, moved: Receiver<SocketAddr>) {
     let mut after = Some(seq);
     let mut pause = PAUSES[0];
     loop {
         let begun = Instant::now();
-        let end = match one_watch(&node, discovery, &mut after).await {
-            Ok(never) => match never {},
-            Err(end) => end,
+        let watch = async {
+            let end = match one_watch(&node, discovery, &mut after).await {
+                Ok(never) => match never {},
+                Err(end) => end,
+            };
+            node.counters.watches_broken.add();
+            warn!(%end, "the watch on the host group ended");
+            if matches!(end, WatchEnd::Malformed(_)) {
+                after = None;
+            }
+            if begun.elapsed() > 2 * SILENCE {
+                pause = PAUSES[0];
+            }
+            Timer::after(pause).await;
+            pause = (2 * pause).min(PAUSES[1]);
+            None
         };
-        node.counters.watches_broken.add();
-        warn!(%end, "the watch on the host group ended");
-        if matches!(end, WatchEnd::Malformed(_)) {
-            after = None;
-        }
-        if begun.elapsed() > 2 * SILENCE {
-            pause = PAUSES[0];
+        let to = async {
+            match moved.recv().await {
+                Ok(address) => Some(address),
+                Err(_) => std::future::pending().await,
+            }
+        };
+        if let Some(address) = or(to, watch).await {
+            // Another agent may count its versions in another way: its whole list is asked for.
+            info!(%address, "the watch on the host group moves");
+            (discovery, after, pause) = (address, None, PAUSES[0]);
         }
-        Timer::after(pause).await;
-        pause = (2 * pause).min(PAUSES[1]);
     }
 }
 
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -19,7 +19,7 @@
 
 /// The descriptors that links may hold.
 pub struct Descriptors {
-    most: usize,
+    most: Cell<usize>,
     used: Cell<usize>,
 }
 
@@ -29,17 +29,24 @@
 impl Descriptors {
     /// A budget within `sockets`, the limit on the whole process.
     pub fn new(sockets: usize) -> Rc<Descriptors> {
-        Rc::new(Descriptors { most: sockets.saturating_sub(RESERVED).max(2), used: Cell::new(0) })
+        let descriptors = Descriptors { most: Cell::new(0), used: Cell::new(0) };
+        descriptors.resize(sockets);
+        Rc::new(descriptors)
+    }
+
+    /// Another limit; where more are in use than it allows, those stay until they are free.
+    pub fn resize(&self, sockets: usize) {
+        self.most.set(sockets.saturating_sub(RESERVED).max(2));
     }
 
     /// The most client links: two thirds, so that clients alone can't leave the executors without.
     pub fn clients_most(&self) -> usize {
-        self.most * 2 / 3
+        self.most.get() * 2 / 3
     }
 
     /// One descriptor, if one is free.
     pub fn take(self: &Rc<Self>) -> Option<Permit> {
-        let free = self.used.get() < self.most;
+        let free = self.used.get() < self.most.get();
         free.then(|| {
             self.used.set(self.used.get() + 1);
             Permit(self.clone())
--- a/node/src/tests/watch.rs
+++ b/node/src/tests/watch.rs
@@ -69,7 +69,8 @@
         drop(done);
         end
     });
-    node.spawn_urgent(host_group::watch(node.clone(), address, 1));
+    let (_moves, never) = async_channel::unbounded();
+    node.spawn_urgent(host_group::watch(node.clone(), address, 1, never));
     shared::run(&node, async { _ = stop.recv().await });
     waiter.join().expect("the waiter").expect("the agent saw what it should");
     let port = |n: u32| node.host_group.address(WorkerId(n)).map(|a| a.port());
--- a/node/tests/program.rs
+++ b/node/tests/program.rs
@@ -20,8 +20,12 @@
     begin(Command::new(env!("CARGO_BIN_EXE_sorrelhaven")), config, name)
 }
 
+fn path(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("sorrelhaven-{}-{name}.json", std::process::id()))
+}
+
 fn begin(mut command: Command, config: &str, name: &str) -> Child {
-    let path = std::env::temp_dir().join(format!("sorrelhaven-{}-{name}.json", std::process::id()));
+    let path = path(name);
     std::fs::write(&path, config).expect("a temporary file");
     command.env_remove("RUST_LOG").env("RELAY_CONFIG", path).stderr(Stdio::piped());
     command.spawn().expect("the program starts")
@@ -160,6 +164,48 @@
     assert!(node.child.wait().expect("it ends").success());
 }
 
+/// SIGHUP ends nothing: a faulty file is named by its key and changes nothing, a good one moves the watch at
+/// once, the executors known before stay known, and what was taken is finished, also by a SIGTERM behind it.
+#[test]
+fn a_reload_moves_the_watch_and_loses_nothing() {
+    let (listener, address) = executor();
+    let [(old, old_address), (new, new_address)] = [executor(), executor()];
+    let text = config(&address, "at_most_once").replace("127.0.0.1:1\"", &format!("{old_address}\""));
+    let mut node = Running::new(&text, "reload");
+    let (mut watch, _) = old.accept().expect("the node asks");
+    assert!(read(&mut watch, "\r\n\r\n").starts_with("GET /registry/instances?watch=1&after=1 "));
+    let mut client = node.ask("fee", "5000m");
+    let (mut job, _) = listener.accept().expect("the job comes");
+    read(&mut job, "body");
+
+    std::fs::write(path("reload"), text.replace("at_most_once", "often")).expect("a temporary file");
+    node.signal("HUP");
+    let fault = node.line("stays as it was");
+    assert!(fault.contains("settings.grades[1].effect: unknown effect"), "{fault}");
+    let moved = text.replace(&old_address, &new_address).replace("\"1f\"", "\"2f\"");
+    std::fs::write(path("reload"), moved).expect("a temporary file");
+    node.signal("HUP");
+    assert!(node.line("wait for a restart").contains("seed"));
+    // Another agent may count its versions in another way, so it is asked for all that it has.
+    let (mut moved, _) = new.accept().expect("the node asks the new agent");
+    assert!(read(&mut moved, "\r\n\r\n").starts_with("GET /registry/instances HTTP/1.1\r\n"));
+    assert_eq!(read(&mut watch, "never"), "", "the old agent's watch ends");
+
+    let head = HEAD.replace("OK", "OK\r\nConnection: close");
+    let done = head + &chunk(r#"{"id":"q-1","state":"done","result":"fine"}"#) + "0\r\n\r\n";
+    job.write_all(done.as_bytes()).expect("the node reads");
+    assert!(read(&mut client, "\r\n\r\nfine").starts_with("HTTP/1.1 200 OK\r\n"));
+    let mut client = node.ask("fee", "5000m");
+    let (mut job, _) = listener.accept().expect("the old list is in force");
+    read(&mut job, "body");
+    node.signal("HUP");
+    node.signal("TERM");
+    node.line("closing");
+    job.write_all(done.as_bytes()).expect("the node reads");
+    assert!(read(&mut client, "\r\n\r\nfine").starts_with("HTTP/1.1 200 OK\r\n"));
+    assert!(node.child.wait().expect("it ends").success());
+}
+
 /// A job that must not run twice and may have run: one execution, and a failure that says nothing of "again".
 #[test]
 fn a_job_that_may_have_run_is_not_sent_again() {
