Bad clients have an answer or a close by 2.2 s, an open id 409, executors no blame

Checked: a probe that logged heads, 4xx answers and executors' answers. All 322 answers of executors were 400, each to an id of another client's open request that came again on another link. The module took each as an error: it blamed the executor, and sent the job on to up to five others. Ruled out: what is malformed (all answered 4xx by the front), descriptors (305 of 384), memory (1 of 48 MB), CPU (0.05 s in the worst second). Lines at fault: execution.rs Answer::step (every status but 200 was Failed), ending.rs (NoDescriptor told as ConnectFailed), request::take (no look at open ids), front.rs SLOW_SENDER 10 s and IDLE 120 s, also for links that had carried nothing, and a fixed pause of 10 ms for each link that gave way. Changed: ids that are open are refused with 409; Outcome::Unusable, from which the module learns nothing and after which it gives up at once; a first request must be whole 2.2 s after the accept; links that carried no job give way first, and at once; a backlog of 1024; lingering is bounded and yields. Tests: five new ones, seen to fail before for the open id, the silent link, the unusable job and the descriptor.

--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -48,7 +48,7 @@
     pub lists: Count,
     /// Watches on the host group that broke or fell silent.
     pub watches_broken: Count,
-    outcomes: [Count; 8],
+    outcomes: [Count; 9],
 }
 
 impl Counters {
@@ -58,8 +58,8 @@
     }
 }
 
-const OUTCOMES: [&str; 8] =
-    ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"];
+const OUTCOMES: [&str; 9] =
+    ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "unusable"];
 
 fn place(outcome: Outcome) -> usize {
     match outcome {
@@ -71,6 +71,7 @@
         Outcome::Reset => 5,
         Outcome::Cancelled => 6,
         Outcome::Moot => 7,
+        Outcome::Unusable => 8,
     }
 }
 
--- a/node/src/ending.rs
+++ b/node/src/ending.rs
@@ -10,6 +10,8 @@
     Done(String),
     /// The executor says that the job failed, or answered with an error.
     Failed,
+    /// The executor can't use the job: it is not one that any client sent in this form.
+    Unusable,
     /// The executor turned the job away, or handed it back unstarted.
     Returned,
     /// The executor says that the job was killed.
@@ -52,15 +54,14 @@
             Ending::Done(_) => Outcome::Ok,
             Ending::Failed | Ending::Malformed | Ending::WrongId | Ending::Oversize => Outcome::Error,
             Ending::Returned => Outcome::Full,
-            Ending::NoDescriptor
-            | Ending::Unreachable
-            | Ending::ConnectLate
-            | Ending::BrokenUnwritten
-            | Ending::LateUnwritten => Outcome::ConnectFailed,
+            Ending::Unusable => Outcome::Unusable,
+            Ending::Unreachable | Ending::ConnectLate | Ending::BrokenUnwritten | Ending::LateUnwritten => {
+                Outcome::ConnectFailed
+            }
             Ending::Lost | Ending::Broken | Ending::Cut => Outcome::Reset,
             Ending::Silent => Outcome::Timeout,
             Ending::Withdrawn => Outcome::Cancelled,
-            Ending::NoAddress | Ending::Concluded => Outcome::Moot,
+            Ending::NoAddress | Ending::Concluded | Ending::NoDescriptor => Outcome::Moot,
         }
     }
 
--- a/node/src/execution.rs
+++ b/node/src/execution.rs
@@ -138,6 +138,8 @@
         match self.status {
             200 => {}
             _ if self.returned => return Step::Over(Ending::Returned),
+            // The job's fault, not the executor's: any other would say the same.
+            400 | 404 => return Step::Over(Ending::Unusable),
             _ => return Step::Over(Ending::Failed),
         }
         loop {
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -1,28 +1,34 @@
 //! The front: client links, HTTP in and out, `/health/ready`.
 
 use crate::deadline::by;
-use crate::http::{Body, Fault, Head, Link, Start};
+use crate::http::{BODY_MOST, Body, Fault, Head, Link, Start};
 use crate::links::Permit;
 use crate::node::Node;
 use crate::request::{self, Answer, Job, Parcel};
-use async_io::{Async, Timer};
+use async_io::Async;
+use event_listener::EventListener;
 use futures_lite::future::{or, yield_now};
-use std::net::{TcpListener, TcpStream};
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use stepusher::Micros;
 use tracing::{debug, warn};
 
-/// A client must have sent its whole request this long after the first byte.
-const SLOW_SENDER: Duration = Duration::from_secs(10);
+/// A request must be whole so long after its first byte, the first one on a link so long after the accept.
+/// Guards against links that say nothing, or half of something: they are owed a close within 3 s.
+const WHOLE: Duration = Duration::from_millis(2_200);
 /// A client must have taken its answer by then.
 const SLOW_READER: Duration = Duration::from_secs(10);
-/// A client link may stand idle for so long between requests.
+/// A client link that has carried a request may stand idle for so long until the next.
 const IDLE: Duration = Duration::from_secs(120);
 /// How long a link that is given up is read on, so that the client sees the answer and not a reset.
 const LINGER: Duration = Duration::from_millis(500);
-/// The pause of the accept loop when there is no descriptor for another link.
+/// The longest pause of the accept loop when there is no descriptor for another link.
 const FULL_PAUSE: Duration = Duration::from_millis(10);
+/// Connections that may wait for their accept: a burst of hundreds must not make a usual client's be dropped,
+/// for it would be sent again only a second later.
+const BACKLOG: i32 = 1024;
 /// The answer must reach the client before it gives up: the way there and back comes off its time.
 const CROSSING: Micros = 3_000;
 /// The longest time that a client can ask the node to wait.
@@ -53,6 +59,7 @@
             400 => "Bad Request",
             404 => "Not Found",
             405 => "Method Not Allowed",
+            409 => "Conflict",
             408 => "Request Timeout",
             413 => "Content Too Large",
             431 => "Request Header Fields Too Large",
@@ -90,23 +97,36 @@
     }
 }
 
+/// Listens where clients connect.
+pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let listener = Async::<TcpListener>::bind(address)?;
+    rustix::net::listen(&listener, BACKLOG)?;
+    Ok(listener)
+}
+
 /// Accepts client links until `stop` and then what still waits in the listener's queue.
 pub async fn accept(node: Rc<Node>, listener: Async<TcpListener>, stop: impl Future<Output = ()>) {
     let forever = async {
+        let mut refused = false;
         loop {
             let Some(permit) = room(&node) else {
-                node.close_idle.notify_additional(1);
-                Timer::after(FULL_PAUSE).await;
+                give_way(&node).await;
                 continue;
             };
             match listener.accept().await {
-                Ok((stream, _)) => begin(&node, stream, permit),
+                Ok((stream, _)) => {
+                    refused = false;
+                    begin(&node, stream, permit);
+                    // A flood of connections must not keep the others waiting.
+                    yield_now().await;
+                }
                 Err(error) => {
                     // Too many descriptors, or a connection that ended in the queue: neither ends the loop.
                     drop(permit);
-                    warn!(%error, "cannot accept");
-                    node.close_idle.notify_additional(1);
-                    Timer::after(FULL_PAUSE).await;
+                    if !std::mem::replace(&mut refused, true) {
+                        warn!(%error, "cannot accept");
+                    }
+                    give_way(&node).await;
                 }
             }
         }
@@ -126,6 +146,16 @@
     if room { node.links.permit() } else { None }
 }
 
+/// Has one client link closed: the oldest that has carried no request, or else the one that has stood idle for
+/// the longest. Usual clients must not lose their links to silent ones.
+async fn give_way(node: &Node) {
+    let freed = node.link_freed.listen();
+    if node.close_silent.notify_additional(1) == 0 {
+        node.close_idle.notify_additional(1);
+    }
+    by(Instant::now() + FULL_PAUSE, freed).await;
+}
+
 fn begin(node: &Rc<Node>, stream: Async<TcpStream>, permit: Permit) {
     node.counters.client_links.add();
     node.client_links.set(node.client_links.get() + 1);
@@ -136,48 +166,59 @@
         }
         drop(permit);
         node.client_links.set(node.client_links.get() - 1);
+        node.link_freed.notify(1);
     });
 }
 
-/// One client link: requests one after the other, until either side ends it.
+/// One client link: requests one after the other, until either side ends it. Until it has carried a job it
+/// must hurry, and gives way to others.
 async fn client_link(node: &Rc<Node>, link: &mut Link) {
-    while arrives(node, link).await {
-        let begun = Instant::now();
-        let read = by(begun + SLOW_SENDER, read(node, link)).await;
-        let (mut response, keeps_alive) = match read {
+    let hurry = Instant::now() + WHOLE;
+    let mut silent = Some(node.close_silent.listen());
+    while arrives(node, link, hurry, &mut silent).await {
+        let whole_by = if silent.is_some() { hurry } else { Instant::now() + WHOLE };
+        let read = or(by(whole_by, read(node, link)), async {
+            unwanted(&mut silent).await;
+            Some(Err(Fault::Closed))
+        });
+        let (mut response, keeps_alive) = match read.await {
             None => (Response::fault(408, "the request came too slowly"), false),
             Some(Err(Fault::Closed | Fault::Broken)) => return,
             Some(Err(Fault::Malformed)) => (Response::fault(400, "not HTTP"), false),
             Some(Err(Fault::HeadTooLarge)) => (Response::fault(431, "the head is too large"), false),
             Some(Err(Fault::BodyTooLarge)) => (Response::fault(413, "the body is too large"), false),
             Some(Ok(Read { parsed: Err(response), keeps_alive })) => (response, keeps_alive),
-            Some(Ok(Read { parsed: Ok(job), keeps_alive })) => {
-                let ticket = request::take(node, job);
-                let answer = or(async { Some(ticket.answer().await) }, async {
-                    link.ended().await;
-                    None
-                });
-                match answer.await {
-                    Some(Some(answer)) => (answer.into(), keeps_alive),
-                    Some(None) => (Response::new(500), false),
-                    None => {
-                        ticket.leave();
-                        return;
+            Some(Ok(Read { parsed: Ok(job), keeps_alive })) => match request::take(node, job) {
+                None => (Response::new(409), keeps_alive),
+                Some(ticket) => {
+                    silent = None;
+                    let answer = or(async { Some(ticket.answer().await) }, async {
+                        link.ended().await;
+                        None
+                    });
+                    match answer.await {
+                        Some(Some(answer)) => (answer.into(), keeps_alive),
+                        Some(None) => (Response::new(500), false),
+                        None => {
+                            ticket.leave();
+                            return;
+                        }
                     }
                 }
-            }
+            },
         };
         if response.status / 100 == 4 {
             node.counters.malformed.add();
             debug!(response.status, body = %String::from_utf8_lossy(&response.body), "not taken");
         }
-        response.close |= !keeps_alive || node.closing() || crowded(node);
+        response.close |= !keeps_alive || node.closing();
         let bytes = response.bytes();
         if by(Instant::now() + SLOW_READER, link.write(&bytes)).await != Some(Ok(())) {
             return;
         }
         if response.close {
-            by(Instant::now() + LINGER, link.linger()).await;
+            let until = Instant::now() + LINGER;
+            or(async { _ = by(until, link.linger()).await }, unwanted(&mut silent)).await;
             return;
         }
         // A client that sends without a pause must not keep the others waiting.
@@ -185,23 +226,28 @@
     }
 }
 
-/// When client links are at their most, they are closed after an answer so that all get their turn.
-fn crowded(node: &Node) -> bool {
-    node.client_links.get() >= node.links.descriptors.clients_most()
+/// Waits until a link that has carried no job is to give way; for ever for one that has.
+async fn unwanted(silent: &mut Option<EventListener>) {
+    match silent {
+        Some(asked) => asked.await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Waits for the first byte of a request; false when the link is to be closed instead.
-async fn arrives(node: &Node, link: &mut Link) -> bool {
-    let asked = node.close_idle.listen();
+async fn arrives(node: &Node, link: &mut Link, hurry: Instant, silent: &mut Option<EventListener>) -> bool {
     if link.pending() > 0 {
         return true;
     }
-    if node.closing() {
-        return false;
-    }
-    let until = Instant::now() + IDLE;
+    let until = if silent.is_some() { hurry } else { Instant::now() + IDLE };
     let close = async {
-        asked.await;
+        // What has come before the node closes is still read.
+        if !node.closing() {
+            match silent {
+                Some(asked) => asked.await,
+                None => node.close_idle.listen().await,
+            }
+        }
         false
     };
     by(until, or(async { link.fill().await.is_ok() }, close)).await.unwrap_or(false)
@@ -217,6 +263,10 @@
     let head = link.head(Head::request).await?;
     let came = node.desk.clock.now();
     let framing = head.body()?;
+    // A length that is too large is answered from the head: neither asked for nor read.
+    if matches!(framing, Body::Length(n) if n > BODY_MOST) {
+        return Err(Fault::BodyTooLarge);
+    }
     if framing != Body::Length(0)
         && head.get("Expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"))
     {
@@ -248,7 +298,7 @@
         Some(value) if !value.is_empty() && value.bytes().all(|b| b.is_ascii_graphic()) => Ok(value),
         _ => Err(bad(name)),
     };
-    let id = need("Request-Id")?.to_string();
+    let id = need("Request-Id")?.into();
     let class_name = need("Request-Class")?;
     let class = node.classes.iter().position(|c| c.name == class_name).ok_or_else(|| bad("Request-Class"))?;
     if !node.tenants.is_empty() && !node.tenants.iter().any(|t| Some(t.as_str()) == head.get("Tenant")) {
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -4,6 +4,7 @@
 
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
+use futures_lite::future::yield_now;
 use std::io::{self, Read};
 use std::net::TcpStream;
 
@@ -12,6 +13,8 @@
 const HEADERS_MOST: usize = 64;
 /// The most a body may hold, by the protocol.
 pub const BODY_MOST: usize = 64 * 1024;
+/// The most that is still taken from a connection that is given up.
+const LINGER_MOST: usize = 4 * BODY_MOST;
 /// The most a chunk's size line or the trailer may hold.
 const CHUNK_LINE_MOST: usize = 1024;
 
@@ -271,9 +274,9 @@
         Ok(n)
     }
 
-    /// Waits until the other side has ended the connection; reads no further than one message ahead.
+    /// Waits until the other side has ended the connection; reads no further than one head ahead.
     pub async fn ended(&mut self) {
-        while self.buffer.len() < HEAD_MOST + BODY_MOST {
+        while self.buffer.len() < HEAD_MOST {
             if self.fill().await.is_err() {
                 return;
             }
@@ -292,12 +295,17 @@
         self.stream.write_all(bytes).await.map_err(|_| Fault::Broken)
     }
 
-    /// Ends the sending, and takes what still comes, so that the last answer is not lost to a reset.
+    /// Ends the sending, and takes some of what still comes, so that the last answer is not lost to a reset.
     pub async fn linger(&mut self) {
         if self.stream.get_ref().shutdown(std::net::Shutdown::Write).is_ok() {
-            self.buffer.clear();
-            while self.fill().await.is_ok() {
-                self.buffer.clear();
+            let mut taken = 0;
+            while taken < LINGER_MOST {
+                taken += std::mem::take(&mut self.buffer).len();
+                if self.fill().await.is_err() {
+                    return;
+                }
+                // One that sends at full speed must not keep the others waiting.
+                yield_now().await;
             }
         }
     }
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -4,6 +4,7 @@
 use crate::ending::Ending;
 use crate::http::Link;
 use async_io::Async;
+use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
@@ -105,7 +106,11 @@
     pub async fn open(&self, address: SocketAddr, counters: &Counters) -> Result<ServerLink, Ending> {
         let permit = self.permit().ok_or(Ending::NoDescriptor)?;
         counters.server_links.add();
-        let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Ending::Unreachable)?;
+        // The node's own want of a descriptor says nothing of the executor.
+        let own = [Errno::MFILE, Errno::NFILE].map(|e| Some(e.raw_os_error()));
+        let stream = Async::<TcpStream>::connect(address).await.map_err(|e| {
+            if own.contains(&e.raw_os_error()) { Ending::NoDescriptor } else { Ending::Unreachable }
+        })?;
         let link = Link::new(stream).map_err(|_| Ending::Unreachable)?;
         Ok(ServerLink { link, address, _permit: permit })
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -57,7 +57,7 @@
     let (listen, discovery, seq) = (config.listen, config.discovery, config.known.seq);
     let name = config.name.clone();
     let (node, probes) = Node::new(config.clone());
-    let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let listener = front::listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
     let listen = listener.get_ref().local_addr().unwrap_or(listen);
     info!(name, %listen, "ready");
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -10,7 +10,8 @@
 use event_listener::Event;
 use futures_lite::future::{or, yield_now};
 use sorrelhaven_config::{ClassName, Config};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use stepusher::{Event as ModuleEvent, Members, WorkerId};
@@ -36,6 +37,12 @@
     pub connect_limit: Duration,
     /// Each notice closes one client link that stands idle, the one that has stood for the longest first.
     pub close_idle: Event,
+    /// Each notice closes one client link that has carried no job, the oldest first.
+    pub close_silent: Event,
+    /// A client link has ended.
+    pub link_freed: Event,
+    /// The ids of the requests that are open.
+    pub open_ids: RefCell<HashSet<Rc<str>>>,
     closing: Cell<bool>,
     /// Client links that are open.
     pub client_links: Cell<usize>,
@@ -62,6 +69,9 @@
             tenants: config.tenants,
             connect_limit,
             close_idle: Event::new(),
+            close_silent: Event::new(),
+            link_freed: Event::new(),
+            open_ids: RefCell::default(),
             closing: Cell::new(false),
             client_links: Cell::new(0),
             urgent: LocalExecutor::new(),
@@ -76,6 +86,7 @@
     pub fn close(&self) {
         self.closing.set(true);
         self.close_idle.notify(usize::MAX);
+        self.close_silent.notify(usize::MAX);
     }
 
     /// Whether the node is about to end.
--- a/node/src/request.rs
+++ b/node/src/request.rs
@@ -32,7 +32,7 @@
 /// What travels to the executor, unchanged in every execution.
 pub struct Parcel {
     /// The request's id.
-    pub id: String,
+    pub id: Rc<str>,
     /// Its method.
     pub method: String,
     /// Its path and query.
@@ -116,26 +116,33 @@
     }
 }
 
-/// Takes a request.
-pub fn take(node: &Rc<Node>, job: Job) -> Ticket {
+/// Takes a request; `None` where one of the same id is open: executors know their jobs by it, so a second one
+/// would be turned away there, or mixed up with the first.
+pub fn take(node: &Rc<Node>, job: Job) -> Option<Ticket> {
+    let name = job.parcel.id.clone();
+    if !node.open_ids.borrow_mut().insert(name.clone()) {
+        return None;
+    }
     let (mail, inbox) = async_channel::unbounded();
     let (reply, answer) = async_channel::bounded(1);
     node.counters.taken.add();
     let life = Life {
         node: node.clone(),
         id: node.desk.open(mail.clone()),
+        name,
         mail: mail.clone(),
         reply,
         answered: false,
         executions: HashMap::new(),
     };
     node.spawn(life.run(job, inbox));
-    Ticket { mail, answer }
+    Some(Ticket { mail, answer })
 }
 
 struct Life {
     node: Rc<Node>,
     id: RequestId,
+    name: Rc<str>,
     mail: Sender<Mail>,
     reply: Sender<Answer>,
     answered: bool,
@@ -230,5 +237,6 @@
 impl Drop for Life {
     fn drop(&mut self) {
         self.node.desk.close(self.id);
+        self.node.open_ids.borrow_mut().remove(&self.name);
     }
 }
--- a/node/src/tests/server_link.rs
+++ b/node/src/tests/server_link.rs
@@ -69,6 +69,7 @@
         "200 OK" => {}
         "nonsense" => return (Ending::Malformed, false),
         s if s.contains("Not-Started") => return (Ending::Returned, whole(c, &c.steps)),
+        "404 What" => return (Ending::Unusable, whole(c, &c.steps)),
         _ => return (Ending::Failed, whole(c, &c.steps)),
     }
     for (i, step) in c.steps.iter().enumerate() {
@@ -137,7 +138,7 @@
 }
 
 fn parcel() -> Rc<Parcel> {
-    let (id, method, target) = ("r1".to_string(), "POST".to_string(), "/api?x=1".to_string());
+    let (id, method, target) = ("r1".into(), "POST".to_string(), "/api?x=1".to_string());
     Rc::new(Parcel { id, method, target, headers: Vec::new(), body: b"body".to_vec() })
 }
 
@@ -192,6 +193,19 @@
     assert_eq!((ending.clone(), ending.outcome()), (Ending::Unreachable, Outcome::ConnectFailed));
 }
 
+/// The node's own want of a descriptor is no word on the executor.
+#[test]
+fn no_descriptor_is_told_as_never_sent() {
+    assert_eq!(Ending::NoDescriptor.outcome(), Outcome::Moot);
+    let node = shared::node("127.0.0.1:1".parse().expect("an address"));
+    let held: Vec<_> = std::iter::from_fn(|| node.links.permit()).collect();
+    let order = Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_secs(9) };
+    let (mail, inbox) = async_channel::unbounded();
+    shared::run(&node, execution::run(node.clone(), parcel(), order, mail));
+    let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
+    assert_eq!(ending, Ending::NoDescriptor, "with {} held", held.len());
+}
+
 /// An executor that does not read leaves the last byte unwritten: that, too, never ran.
 #[test]
 fn a_request_that_was_not_written_never_ran() {
--- a/node/tests/program.rs
+++ b/node/tests/program.rs
@@ -251,6 +251,69 @@
     assert!(counters.contains("lapsed=1") && counters.contains("cancelled=1"), "{counters}");
 }
 
+/// An id that is open must not reach an executor twice: it would be turned away there, or mixed up.
+#[test]
+fn an_open_id_that_comes_again_is_answered_and_the_first_goes_on() {
+    let (listener, address) = executor();
+    let node = Running::new(&config(&address, "at_most_once"), "again");
+    let mut client = node.ask("fee", "5000m");
+    let (mut job, _) = listener.accept().expect("the job comes");
+    read(&mut job, "body");
+    for _ in 0..3 {
+        let mut again = node.ask("fee", "5000m");
+        assert!(read(&mut again, "\r\n\r\n").starts_with("HTTP/1.1 409 "));
+    }
+    let done = HEAD.to_string() + &chunk(r#"{"id":"q-1","state":"done","result":"fine"}"#) + "0\r\n\r\n";
+    job.write_all(done.as_bytes()).expect("the node reads");
+    assert!(read(&mut client, "\r\n\r\nfine").starts_with("HTTP/1.1 200 OK\r\n"));
+    listener.set_nonblocking(true).expect("a listener");
+    assert!(listener.accept().is_err(), "no second execution");
+    // Once the first is over its id is free.
+    let mut client = node.ask("issue", "0m");
+    assert!(read(&mut client, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
+}
+
+/// Whoever sends nothing, half of something or far too much hears of it within 3 s of connecting, and a link
+/// that has served stays.
+#[test]
+fn a_bad_client_has_an_error_or_a_close_within_three_seconds() {
+    let node = Running::new(&config("127.0.0.1:1", "at_most_once"), "bad-client");
+    let mut usual = node.ask("issue", "0m");
+    assert!(read(&mut usual, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
+    let head = "POST /api HTTP/1.1\r\nRequest-Id: r\r\nContent-Length: ";
+    let long = format!("{head}60000000\r\nExpect: 100-continue\r\n\r\n");
+    let half = format!("{head}9\r\n\r\nhalf");
+    let cases = [("", ""), ("POST /ap", "HTTP/1.1 408 "), (&half, "HTTP/1.1 408 "), (&long, "HTTP/1.1 413 ")];
+    let begun = Instant::now();
+    let mut links: Vec<TcpStream> = cases.iter().map(|_| crowd(&node, 1).remove(0)).collect();
+    for (link, (text, _)) in links.iter_mut().zip(cases) {
+        link.write_all(text.as_bytes()).expect("it is written");
+    }
+    for (link, (text, answer)) in links.iter_mut().zip(cases) {
+        let got = read(link, "never");
+        assert!(got.starts_with(answer) && got.is_empty() == answer.is_empty(), "{text:?}: {got:?}");
+    }
+    assert!(begun.elapsed() < Duration::from_secs(3));
+    usual.write_all(b"GET /nowhere HTTP/1.1\r\n\r\n").expect("a kept link");
+    assert!(read(&mut usual, "\r\n\r\n").starts_with("HTTP/1.1 404 "));
+}
+
+/// A flood of silent links is turned out first: a usual client's kept link goes on.
+#[test]
+fn silent_links_give_way_before_those_that_have_served() {
+    let text =
+        config("127.0.0.1:1", "at_most_once").replace("\"seed\"", "\"limits\":{\"sockets\":64},\"seed\"");
+    let node = Running::new(&text, "silent");
+    let mut usual = node.ask("issue", "0m");
+    assert!(read(&mut usual, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
+    let begun = Instant::now();
+    let _crowd = crowd(&node, 300);
+    assert!(ready(&node).starts_with("HTTP/1.1 200 "));
+    assert!(begun.elapsed() < Duration::from_secs(2), "a new client has its turn at once");
+    usual.write_all(b"GET /nowhere HTTP/1.1\r\n\r\n").expect("a kept link");
+    assert!(read(&mut usual, "\r\n\r\n").starts_with("HTTP/1.1 404 "));
+}
+
 /// Opens `n` client links that send nothing.
 fn crowd(node: &Running, n: usize) -> Vec<TcpStream> {
     (0..n).map(|_| TcpStream::connect(&node.address).expect("the system accepts")).collect()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -206,6 +206,8 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// The job itself can't be used: that says nothing of the worker, and no other would take it.
+    Unusable,
 }
 
 /// A request as it arrives.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -684,7 +684,7 @@
         if !never_ran && r.ran.is_none() {
             r.ran = Some((worker, now - took));
         }
-        if outcome == Outcome::Moot || now >= r.due {
+        if matches!(outcome, Outcome::Moot | Outcome::Unusable) || now >= r.due {
             self.give_up(id, actions);
         } else {
             self.place(now, id, actions);
@@ -881,7 +881,7 @@
                 self.estimate(id);
                 self.change();
             }
-            Outcome::Moot => {}
+            Outcome::Moot | Outcome::Unusable => {}
             // The answer was lost, not the job: the worker has shown life after it should have ended.
             Outcome::Timeout
                 if a.started.is_some_and(|at| self.worker(id).alive > at + 3 * a.size as Micros) => {}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -43,6 +43,20 @@
     assert_ne!(again[0].1, worker);
 }
 
+/// A stranger's jobs, which no worker can use, must not close the workers to everyone else's; and each is
+/// over at once, for any other worker would say the same.
+#[test]
+fn an_unusable_job_ends_at_once_and_says_nothing_of_its_worker() {
+    let mut desk = Desk::new(settings(), 1);
+    for i in 1..20 {
+        let (request, actions) = desk.arrive(i * S, 1, 50 * MS);
+        let sent = sends(&actions);
+        assert_eq!(sent.len(), 1, "the worker is as good as before");
+        let actions = desk.end(i * S + MS, request, (sent[0].1, 0), Outcome::Unusable);
+        assert_eq!(actions, [Action::Fail { request }]);
+    }
+}
+
 #[test]
 fn full_that_may_have_run_is_no_proof() {
     let mut settings = settings();
