The node is split into floors: wire, engine, front/http1 and the program

Need: node, desk, request, execution and host_group imported each other in a circle through the struct Node, so no second front and no subsystem could be a package of its own.

--- a/node/src/clock.rs
+++ b/engine/src/clock.rs
@@ -14,8 +14,8 @@
 }
 
 impl Clock {
-    /// Starts it.
-    pub fn new() -> Clock {
+    /// A clock that starts now.
+    pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix: unix.as_micros() as Micros }
     }
--- a/node/src/counters.rs
+++ b/engine/src/counters.rs
@@ -24,10 +24,6 @@
 /// All counts since the start.
 #[derive(Default)]
 pub struct Counters {
-    /// Client links accepted.
-    pub client_links: Count,
-    /// Requests that no front could take, answered by the protocol alone.
-    pub malformed: Count,
     /// Requests taken.
     pub taken: Count,
     /// Answered with an executor's result.
@@ -78,12 +74,11 @@
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "taken={} served={} throttled={}", self.taken, self.served, self.throttled)?;
-        write!(f, " failed={} lapsed={} malformed={}", self.failed, self.lapsed, self.malformed)?;
-        write!(f, " sent={}", self.sent)?;
+        write!(f, " failed={} lapsed={} sent={}", self.failed, self.lapsed, self.sent)?;
         for (name, count) in OUTCOMES.iter().zip(&self.outcomes) {
             write!(f, " {name}={count}")?;
         }
-        write!(f, " client_links={} server_links={}", self.client_links, self.server_links)?;
+        write!(f, " server_links={}", self.server_links)?;
         write!(f, " probes={} lists={} watches_broken={}", self.probes, self.lists, self.watches_broken)
     }
 }
--- a/node/src/desk.rs
+++ b/engine/src/desk.rs
@@ -4,7 +4,7 @@
 //! timer, the probe or the log that it concerns. One event may act on many requests.
 
 use crate::clock::Clock;
-use crate::request::Mail;
+use crate::job::Mail;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future::or;
--- a/node/src/ending.rs
+++ b/engine/src/ending.rs
@@ -1,6 +1,6 @@
 //! Every way in which a server link's exchange can end, and what each means to the module.
 
-use crate::http::Fault;
+use sorrelhaven_wire::Fault;
 use stepusher::Outcome;
 
 /// How an execution ended.
--- /dev/null
+++ b/engine/src/engine.rs
@@ -0,0 +1,113 @@
+//! The parts of one node put together, without a front.
+
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::desk::Desk;
+use crate::host_group::{self, HostGroup};
+use crate::job::Job;
+use crate::links::{Descriptors, Links};
+use crate::probe;
+use crate::request::{Requests, Ticket};
+use crate::tasks::Tasks;
+use crate::ways::Ways;
+use async_channel::Receiver;
+use async_io::Timer;
+use sorrelhaven_config::{Config, HostList};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use stepusher::{Event, Lifecycle, Members, WorkerId};
+
+/// How often idle server links are looked through.
+const SWEEP: Duration = Duration::from_millis(500);
+/// A connection not made within this time has failed, where the settings do not say.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// One node without its fronts: takes jobs, answers each once.
+pub struct Engine {
+    /// Where all tasks run.
+    pub tasks: Rc<Tasks>,
+    /// The desk.
+    pub desk: Rc<Desk>,
+    /// The ways to executors.
+    pub ways: Rc<Ways>,
+    /// The counters.
+    pub counters: Rc<Counters>,
+    requests: Rc<Requests>,
+    probes: Receiver<WorkerId>,
+}
+
+impl Engine {
+    /// An engine that has loaded the host group it knew last; nothing runs yet.
+    pub fn new(config: &Config) -> Rc<Engine> {
+        let (ask, probes) = async_channel::unbounded();
+        let micros = |t: i64| Duration::from_micros(t.max(0) as u64);
+        let connect_limit = match config.settings.limits.connect_timeout {
+            0 => CONNECT_LIMIT,
+            t => micros(t),
+        };
+        let (tasks, counters) = (Rc::<Tasks>::default(), Rc::<Counters>::default());
+        let desk = Rc::new(Desk::new(config.settings.clone(), config.seed, Clock::start(), ask));
+        let descriptors = Descriptors::new(config.sockets);
+        let ways = Rc::new(Ways {
+            host_group: HostGroup::new(config.names.clone()),
+            links: Links::new(descriptors, micros(config.keepalive), counters.clone()),
+            counters: counters.clone(),
+            connect_limit,
+        });
+        let requests = Rc::new(Requests {
+            desk: desk.clone(),
+            ways: ways.clone(),
+            counters: counters.clone(),
+            tasks: tasks.clone(),
+            open_ids: Default::default(),
+        });
+        let entries = ways.host_group.learn(&config.known);
+        desk.tell(Event::Members(Members::Cached(entries)));
+        Rc::new(Engine { tasks, desk, ways, counters, requests, probes })
+    }
+
+    /// Starts what runs as long as the node: the watch on the host group, which goes on from version `seq` at
+    /// `discovery` and follows `moved`, the module's timers and probes, and the sweep of idle links.
+    pub fn start(self: &Rc<Self>, discovery: SocketAddr, seq: u64, moved: Receiver<SocketAddr>) {
+        let at = self.clone();
+        self.tasks.spawn_urgent(async move { at.watch(discovery, seq, moved).await });
+        let desk = self.desk.clone();
+        self.tasks.spawn_urgent(async move { desk.run_timers().await });
+        let at = self.clone();
+        self.tasks.spawn(async move {
+            while let Ok(worker) = at.probes.recv().await {
+                at.tasks.spawn(probe::run(at.desk.clone(), at.ways.clone(), worker));
+            }
+        });
+        let ways = self.ways.clone();
+        self.tasks.spawn(async move {
+            loop {
+                Timer::after(SWEEP).await;
+                ways.links.sweep();
+            }
+        });
+    }
+
+    /// Takes a request; `None` where one of the same id is open.
+    pub fn take(&self, job: Job) -> Option<Ticket> {
+        self.requests.take(job)
+    }
+
+    /// Watches the host group, for ever.
+    pub async fn watch(&self, discovery: SocketAddr, seq: u64, moved: Receiver<SocketAddr>) {
+        let tell = |list: &HostList| self.tell(list);
+        host_group::watch(&self.counters, discovery, seq, moved, tell).await;
+    }
+
+    /// Tells the module of a list, and drops the idle links to executors that are gone.
+    fn tell(&self, list: &HostList) {
+        let entries = self.ways.host_group.learn(list);
+        for entry in entries.iter().filter(|e| e.lifecycle == Lifecycle::Gone) {
+            self.ways.links.forget(entry.worker);
+        }
+        self.counters.lists.add();
+        let members = if list.whole { Members::Full(entries) } else { Members::Delta(entries) };
+        self.desk.tell(Event::Members(members));
+    }
+}
--- a/node/src/execution.rs
+++ b/engine/src/execution.rs
@@ -2,13 +2,13 @@
 //!
 //! Dropping the future closes the link, which is how an execution is withdrawn.
 
-use crate::deadline::by;
 use crate::ending::Ending;
-use crate::http::{BODY_MOST, Fault, Head, Lines, Link, Start};
-use crate::node::Node;
-use crate::request::{Mail, Parcel};
+use crate::job::{Mail, Parcel};
+use crate::links::ServerLink;
+use crate::ways::Ways;
 use async_channel::Sender;
 use serde::Deserialize;
+use sorrelhaven_wire::{BODY_MOST, Fault, Head, Lines, Link, Start, by};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use stepusher::WorkerId;
@@ -64,14 +64,14 @@
 }
 
 /// Runs one execution and reports to the request's mailbox; the last report is how it ended.
-pub async fn run(node: Rc<Node>, parcel: Rc<Parcel>, order: Order, mail: Sender<Mail>) {
+pub async fn run(ways: Rc<Ways>, parcel: Rc<Parcel>, order: Order, mail: Sender<Mail>) {
     let Order { attempt, worker, deadline } = order;
     let report = |m: Mail| {
         // A request stays until its executions have ended, so there is always someone to read it.
         let _ = mail.try_send(m);
     };
     let end = |ending: Ending| report(Mail::Ended { attempt, ending });
-    let mut server_link = match begin(&node, &parcel, worker, deadline).await {
+    let mut server_link = match begin(&ways, &parcel, worker, deadline).await {
         Ok(link) => link,
         Err(ending) => return end(ending),
     };
@@ -83,7 +83,7 @@
             if let Some(idle) = idle
                 && written.elapsed() < AT_ONCE =>
         {
-            node.links.went_stale(idle);
+            ways.links.went_stale(idle);
             return end(Ending::Stale);
         }
         Some(Err(ending)) => return end(ending),
@@ -101,25 +101,19 @@
         }
     }
     if by(Instant::now() + ANSWER_END, answer.rest(link)).await == Some(true) {
-        node.links.put(worker, server_link);
+        ways.links.put(worker, server_link);
     }
 }
 
 /// Writes the request to a link, kept or new. Until its last byte is written it has never run.
 async fn begin(
-    node: &Node,
+    ways: &Ways,
     parcel: &Parcel,
     worker: WorkerId,
     deadline: Instant,
-) -> Result<crate::links::ServerLink, Ending> {
-    let address = node.host_group.address(worker).ok_or(Ending::NoAddress)?;
-    let mut link = match node.links.take(worker, address) {
-        Some(link) => link,
-        None => {
-            let up_by = deadline.min(Instant::now() + node.connect_limit);
-            by(up_by, node.links.open(address, &node.counters)).await.ok_or(Ending::ConnectLate)??
-        }
-    };
+) -> Result<ServerLink, Ending> {
+    let up_by = deadline.min(Instant::now() + ways.connect_limit);
+    let (address, mut link) = by(up_by, ways.link(worker)).await.ok_or(Ending::ConnectLate)??;
     let bytes = parcel.bytes(&address.to_string(), deadline);
     match by(deadline, link.link.write(&bytes)).await {
         Some(Ok(())) => Ok(link),
--- a/node/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -1,19 +1,17 @@
 //! The host group: discovery's list of executors, and the watch on it.
 
-use crate::deadline::by;
-use crate::http::{Fault, Head, Lines, Link, Start};
-use crate::node::Node;
+use crate::counters::Counters;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use sorrelhaven_config::{HostList, Names};
+use sorrelhaven_wire::{Fault, Head, Lines, Link, Start, by};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
 use std::time::{Duration, Instant};
-use stepusher::{Entry, Event, Lifecycle, Members, WorkerId};
+use stepusher::{Entry, WorkerId};
 use tracing::{info, warn};
 
 /// The most that one line of the list may hold.
@@ -92,30 +90,25 @@
     }
 }
 
-/// Tells the module of a list, and drops the idle links to executors that are gone.
-fn tell(node: &Node, list: &HostList) {
-    let entries = node.host_group.learn(list);
-    for entry in entries.iter().filter(|e| e.lifecycle == Lifecycle::Gone) {
-        node.links.forget(entry.worker);
-    }
-    node.counters.lists.add();
-    let members = if list.whole { Members::Full(entries) } else { Members::Delta(entries) };
-    node.desk.tell(Event::Members(members));
-}
-
-/// Watches the list for ever, at the agent that `moved` named last. The old list stays in force while the
-/// watch is broken, and after a move until the new agent speaks.
-pub async fn watch(node: Rc<Node>, mut discovery: SocketAddr, seq: u64, moved: Receiver<SocketAddr>) {
+/// Watches the list for ever, at the agent that `moved` named last; each piece goes to `tell`. The old list stays
+/// in force while the watch is broken, and after a move until the new agent speaks.
+pub async fn watch(
+    counters: &Counters,
+    mut discovery: SocketAddr,
+    seq: u64,
+    moved: Receiver<SocketAddr>,
+    tell: impl Fn(&HostList),
+) {
     let mut after = Some(seq);
     let mut pause = PAUSES[0];
     loop {
         let begun = Instant::now();
         let watch = async {
-            let end = match one_watch(&node, discovery, &mut after).await {
+            let end = match one_watch(discovery, &mut after, &tell).await {
                 Ok(never) => match never {},
                 Err(end) => end,
             };
-            node.counters.watches_broken.add();
+            counters.watches_broken.add();
             warn!(%end, "the watch on the host group ended");
             if matches!(end, WatchEnd::Malformed(_)) {
                 after = None;
@@ -143,9 +136,9 @@
 
 /// One watch, from its connection to its end. Without a version to go on from, it fetches the list first.
 async fn one_watch(
-    node: &Node,
     discovery: SocketAddr,
     after: &mut Option<u64>,
+    tell: &impl Fn(&HostList),
 ) -> Result<std::convert::Infallible, WatchEnd> {
     let mut link = by(Instant::now() + SILENCE, connect(discovery))
         .await
@@ -176,7 +169,7 @@
                 Some(line) => {
                     let list: HostList = serde_json::from_slice(&line).map_err(WatchEnd::Malformed)?;
                     info!(seq = list.seq, whole = list.whole, hosts = list.hosts.len(), "host group");
-                    tell(node, &list);
+                    tell(&list);
                     *after = Some(list.seq);
                 }
             }
--- /dev/null
+++ b/engine/src/job.rs
@@ -0,0 +1,114 @@
+//! The plain types that cross between fronts, requests, the desk and executions.
+
+use crate::ending::Ending;
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::Instant;
+use stepusher::{Micros, WorkerId};
+
+/// A job as a front hands it in.
+pub struct Job {
+    /// Its class's place in the settings.
+    pub class: usize,
+    /// When the client gives up.
+    pub due: Micros,
+    /// The client's guess at the work.
+    pub hint: Option<Micros>,
+    /// The slots it takes.
+    pub width: f64,
+    /// The client marks it as a repeat.
+    pub resent: bool,
+    /// A number drawn from what it is about; 0 where the client does not say.
+    pub key: u64,
+    /// What travels to the executor.
+    pub parcel: Parcel,
+}
+
+/// What travels to the executor, unchanged in every execution.
+pub struct Parcel {
+    /// The request's id.
+    pub id: Rc<str>,
+    /// Its method.
+    pub method: String,
+    /// Its path and query.
+    pub target: String,
+    /// Further headers that travel on.
+    pub headers: Vec<(&'static str, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Parcel {
+    /// The whole message to the executor at `host`, which is told how long the node waits: to `deadline`.
+    pub fn bytes(&self, host: &str, deadline: Instant) -> Vec<u8> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let mut head = format!("{} {} HTTP/1.1\r\nHost: {host}\r\n", self.method, self.target);
+        let _ = write!(head, "Request-Id: {}\r\nRequest-Timeout: {}u\r\n", self.id, left.as_micros());
+        for (name, value) in &self.headers {
+            let _ = write!(head, "{name}: {value}\r\n");
+        }
+        let _ = write!(head, "Content-Length: {}\r\n\r\n", self.body.len());
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// The one final answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// What an executor gave for the request.
+    Served(String),
+    /// Not done, and trying again after this time is harmless.
+    Throttled {
+        /// How long to stay away; 0: no advice.
+        retry_after: Micros,
+    },
+    /// Failed; it may have taken effect.
+    Failed,
+}
+
+/// What a request's task is told, by the desk, by its executions and by the front.
+#[derive(Clone, Debug)]
+pub enum Mail {
+    /// The module: begin an execution.
+    Send {
+        /// The executor.
+        worker: WorkerId,
+        /// When the module stops waiting.
+        deadline: Micros,
+    },
+    /// The module: withdraw an execution.
+    Cancel {
+        /// The execution's number.
+        attempt: u32,
+    },
+    /// The module: answer with a throttle.
+    Refuse {
+        /// How long the client ought to stay away; 0: no advice.
+        retry_after: Micros,
+    },
+    /// The module: answer that it failed.
+    Fail,
+    /// An execution: the job has started.
+    Started {
+        /// The execution's number.
+        attempt: u32,
+    },
+    /// An execution: so much of the job is done.
+    Running {
+        /// The execution's number.
+        attempt: u32,
+        /// The share done, from 0 to 1.
+        share: f64,
+    },
+    /// An execution: it has ended.
+    Ended {
+        /// The execution's number.
+        attempt: u32,
+        /// How it ended.
+        ending: Ending,
+    },
+    /// The front: the client has left.
+    Left,
+}
--- /dev/null
+++ b/engine/src/lib.rs
@@ -0,0 +1,55 @@
+//! A request's life: taken from a front, decided on by the module, carried out on server links, answered once.
+//!
+//! A front hands a [`Job`] to [`Engine::take`] and gets one [`Answer`] through the [`Ticket`]. Nothing here knows
+//! how a client speaks, so every front goes through the same decisions. Files use those above them only:
+//!
+//! | file | concern |
+//! | --- | --- |
+//! | `engine` | the parts put together |
+//! | `request` | one request's life, top to bottom in one task |
+//! | `execution`, `probe` | one attempt at a job on a server link; one question to an executor |
+//! | `ways` | what they reach executors with: `host_group` and `links` |
+//! | `desk` | owns the one `Dispatcher`, feeds it events in order, routes its actions |
+//! | `job` | the plain types that cross between these |
+//! | `ending` | every way an execution can end, and the module's outcome for each |
+//! | `tasks`, `clock`, `counters` | what their names say |
+//!
+//! ```no_run
+//! use sorrelhaven_config::Config;
+//! use sorrelhaven_engine::Engine;
+//!
+//! let config = Config::load(|name| std::env::var(name).ok())?;
+//! let engine = Engine::new(&config);
+//! let (_moves, moved) = async_channel::unbounded();
+//! engine.start(config.discovery, config.known.seq, moved);
+//! async_io::block_on(engine.tasks.run());
+//! # Ok::<(), sorrelhaven_config::Error>(())
+//! ```
+
+mod clock;
+mod counters;
+mod desk;
+mod ending;
+mod engine;
+mod execution;
+mod host_group;
+mod job;
+mod links;
+mod probe;
+mod request;
+mod tasks;
+#[cfg(test)]
+mod tests;
+mod ways;
+
+pub use clock::Clock;
+pub use counters::{Count, Counters};
+pub use desk::Desk;
+pub use ending::Ending;
+pub use engine::Engine;
+pub use host_group::HostGroup;
+pub use job::{Answer, Job, Mail, Parcel};
+pub use links::{Descriptors, Links, Permit, ServerLink};
+pub use request::Ticket;
+pub use tasks::Tasks;
+pub use ways::Ways;
--- a/node/src/links.rs
+++ b/engine/src/links.rs
@@ -2,9 +2,9 @@
 
 use crate::counters::Counters;
 use crate::ending::Ending;
-use crate::http::Link;
 use async_io::Async;
 use rustix::io::Errno;
+use sorrelhaven_wire::Link;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
@@ -89,13 +89,15 @@
     /// Links that had stood idle for longer were found to be stale, and until when that counts.
     found: Cell<Option<(Duration, Instant)>>,
     idle: RefCell<HashMap<WorkerId, Vec<Idle>>>,
+    counters: Rc<Counters>,
 }
 
 impl Links {
     /// An empty pool; executors close links that stand idle for `keepalive`.
-    pub fn new(descriptors: Rc<Descriptors>, keepalive: Duration) -> Links {
+    pub fn new(descriptors: Rc<Descriptors>, keepalive: Duration, counters: Rc<Counters>) -> Links {
         let kept = keepalive.saturating_sub(KEEPALIVE_MARGIN.min(keepalive / 2));
-        Links { descriptors, keepalive: kept, found: Cell::new(None), idle: RefCell::default() }
+        let (found, idle) = (Cell::new(None), RefCell::default());
+        Links { descriptors, keepalive: kept, found, idle, counters }
     }
 
     /// How long an idle link is kept.
@@ -133,9 +135,9 @@
     }
 
     /// Opens a link.
-    pub async fn open(&self, address: SocketAddr, counters: &Counters) -> Result<ServerLink, Ending> {
+    pub async fn open(&self, address: SocketAddr) -> Result<ServerLink, Ending> {
         let permit = self.permit().ok_or(Ending::NoDescriptor)?;
-        counters.server_links.add();
+        self.counters.server_links.add();
         // The node's own want of a descriptor says nothing of the executor.
         let own = [Errno::MFILE, Errno::NFILE].map(|e| Some(e.raw_os_error()));
         let stream = Async::<TcpStream>::connect(address).await.map_err(|e| {
--- a/node/src/probe.rs
+++ b/engine/src/probe.rs
@@ -1,9 +1,9 @@
 //! A probe: one question to an executor whether it lives.
 
-use crate::deadline::by;
+use crate::desk::Desk;
 use crate::ending::Ending;
-use crate::http::{Head, Start};
-use crate::node::Node;
+use crate::ways::Ways;
+use sorrelhaven_wire::{Head, Start, by};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use stepusher::{Event, WorkerId};
@@ -12,20 +12,16 @@
 const WAIT: Duration = Duration::from_millis(500);
 
 /// Probes an executor and tells the module what came of it.
-pub async fn run(node: Rc<Node>, worker: WorkerId) {
-    node.counters.probes.add();
-    let ending = by(Instant::now() + WAIT, probe(&node, worker)).await.unwrap_or(Ending::Silent);
-    node.desk.tell(Event::Probed { worker, outcome: ending.outcome(), report: Vec::new() });
+pub async fn run(desk: Rc<Desk>, ways: Rc<Ways>, worker: WorkerId) {
+    ways.counters.probes.add();
+    let ending = by(Instant::now() + WAIT, probe(&ways, worker)).await.unwrap_or(Ending::Silent);
+    desk.tell(Event::Probed { worker, outcome: ending.outcome(), report: Vec::new() });
 }
 
-async fn probe(node: &Node, worker: WorkerId) -> Ending {
-    let Some(address) = node.host_group.address(worker) else { return Ending::NoAddress };
-    let mut server_link = match node.links.take(worker, address) {
-        Some(link) => link,
-        None => match node.links.open(address, &node.counters).await {
-            Ok(link) => link,
-            Err(ending) => return ending,
-        },
+async fn probe(ways: &Ways, worker: WorkerId) -> Ending {
+    let (address, mut server_link) = match ways.link(worker).await {
+        Ok(found) => found,
+        Err(ending) => return ending,
     };
     let link = &mut server_link.link;
     let request = format!("GET /health/live HTTP/1.1\r\nHost: {address}\r\n\r\n");
@@ -44,7 +40,7 @@
         (Err(fault), _) => Ending::unreadable(fault),
         (Ok(_), Start::Answer { status: 200 }) => {
             if head.keeps_alive() {
-                node.links.put(worker, server_link);
+                ways.links.put(worker, server_link);
             }
             Ending::Done(String::new())
         }
--- /dev/null
+++ b/engine/src/request.rs
@@ -0,0 +1,183 @@
+//! One request's life, in one task: taken, decided on, executed, and answered once.
+//!
+//! Nothing here knows how the client speaks: a front hands in a [`Job`] and gets one [`Answer`].
+
+use crate::counters::Counters;
+use crate::desk::Desk;
+use crate::ending::Ending;
+use crate::execution;
+use crate::job::{Answer, Job, Mail, Parcel};
+use crate::tasks::Tasks;
+use crate::ways::Ways;
+use async_channel::{Receiver, Sender};
+use async_executor::Task;
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use stepusher::{Arrival, Event, Micros, RequestId, WorkerId};
+
+/// An execution that has not ended.
+struct Execution {
+    worker: WorkerId,
+    sent: Micros,
+    task: Task<()>,
+}
+
+/// A request on its way, as the front sees it.
+pub struct Ticket {
+    mail: Sender<Mail>,
+    answer: Receiver<Answer>,
+}
+
+impl Ticket {
+    /// The answer; `None` only if the request's task ended without one.
+    pub async fn answer(&self) -> Option<Answer> {
+        self.answer.recv().await.ok()
+    }
+
+    /// The client has left.
+    pub fn leave(&self) {
+        let _ = self.mail.try_send(Mail::Left);
+    }
+}
+
+/// All requests, and what they are carried out with.
+pub struct Requests {
+    /// The desk.
+    pub desk: Rc<Desk>,
+    /// The ways to executors.
+    pub ways: Rc<Ways>,
+    /// The counters.
+    pub counters: Rc<Counters>,
+    /// Where their tasks run.
+    pub tasks: Rc<Tasks>,
+    /// The ids of the requests that are open.
+    pub open_ids: RefCell<HashSet<Rc<str>>>,
+}
+
+impl Requests {
+    /// Takes a request; `None` where one of the same id is open: executors know their jobs by it, so a second
+    /// one would be turned away there, or mixed up with the first.
+    pub fn take(self: &Rc<Self>, job: Job) -> Option<Ticket> {
+        let name = job.parcel.id.clone();
+        if !self.open_ids.borrow_mut().insert(name.clone()) {
+            return None;
+        }
+        let (mail, inbox) = async_channel::unbounded();
+        let (reply, answer) = async_channel::bounded(1);
+        self.counters.taken.add();
+        let life = Life {
+            requests: self.clone(),
+            id: self.desk.open(mail.clone()),
+            name,
+            mail: mail.clone(),
+            reply,
+            answered: false,
+            executions: HashMap::new(),
+        };
+        self.tasks.spawn(life.run(job, inbox));
+        Some(Ticket { mail, answer })
+    }
+}
+
+struct Life {
+    requests: Rc<Requests>,
+    id: RequestId,
+    name: Rc<str>,
+    mail: Sender<Mail>,
+    reply: Sender<Answer>,
+    answered: bool,
+    executions: HashMap<u32, Execution>,
+}
+
+impl Life {
+    async fn run(mut self, job: Job, inbox: Receiver<Mail>) {
+        let request = self.id;
+        let Job { class, due, hint, width, resent, key, parcel } = job;
+        let parcel = Rc::new(parcel);
+        let mut attempts = 0;
+        self.requests.desk.tell(Event::Arrival(Arrival { request, class, due, hint, width, resent, key }));
+        // A request is over when it has its answer and every execution its outcome.
+        while !(self.answered && self.executions.is_empty()) {
+            let Ok(mail) = inbox.recv().await else { break };
+            match mail {
+                Mail::Send { worker, deadline } => {
+                    let attempt = attempts;
+                    attempts += 1;
+                    self.send(&parcel, attempt, worker, deadline.min(due));
+                }
+                Mail::Cancel { attempt } => self.ended(attempt, Ending::Withdrawn),
+                Mail::Refuse { retry_after } => self.answer(Answer::Throttled { retry_after }),
+                Mail::Fail => self.answer(Answer::Failed),
+                Mail::Started { attempt } => {
+                    if let Some(&Execution { worker, .. }) = self.executions.get(&attempt) {
+                        self.requests.desk.tell(Event::Started { request, attempt, worker });
+                    }
+                }
+                Mail::Running { attempt, share } => {
+                    if let Some(&Execution { worker, .. }) = self.executions.get(&attempt) {
+                        self.requests.desk.tell(Event::Progress { request, attempt, worker, share });
+                    }
+                }
+                Mail::Ended { attempt, ending } => self.ended(attempt, ending),
+                Mail::Left => {
+                    if !std::mem::replace(&mut self.answered, true) {
+                        self.requests.counters.lapsed.add();
+                        self.requests.desk.tell(Event::Lapsed(request));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Begins an execution. One that comes after the answer is never sent.
+    fn send(&mut self, parcel: &Rc<Parcel>, attempt: u32, worker: WorkerId, deadline: Micros) {
+        let Requests { desk, ways, counters, tasks, .. } = &*self.requests;
+        counters.sent.add();
+        let order = execution::Order { attempt, worker, deadline: desk.clock.instant(deadline) };
+        let task = if self.answered {
+            let _ = self.mail.try_send(Mail::Ended { attempt, ending: Ending::Concluded });
+            tasks.hold(std::future::ready(()))
+        } else {
+            tasks.hold(execution::run(ways.clone(), parcel.clone(), order, self.mail.clone()))
+        };
+        self.executions.insert(attempt, Execution { worker, sent: desk.clock.now(), task });
+    }
+
+    /// Gives an execution its one outcome. Of two ways to end that cross, the first counts.
+    fn ended(&mut self, attempt: u32, ending: Ending) {
+        let Some(Execution { worker, sent, task }) = self.executions.remove(&attempt) else { return };
+        let outcome = ending.outcome();
+        self.requests.counters.ended(outcome);
+        match ending {
+            Ending::Withdrawn => drop(task),
+            _ => task.detach(),
+        }
+        if let Ending::Done(result) = ending {
+            self.answer(Answer::Served(result));
+        }
+        let took = self.requests.desk.clock.now() - sent;
+        let (request, closed, report) = (self.id, self.answered, Vec::new());
+        self.requests.desk.tell(Event::Outcome { request, attempt, worker, outcome, took, closed, report });
+    }
+
+    /// Gives the client its one answer.
+    fn answer(&mut self, answer: Answer) {
+        if !std::mem::replace(&mut self.answered, true) {
+            let counters = &self.requests.counters;
+            match answer {
+                Answer::Served(_) => counters.served.add(),
+                Answer::Throttled { .. } => counters.throttled.add(),
+                Answer::Failed => counters.failed.add(),
+            }
+            let _ = self.reply.try_send(answer);
+        }
+    }
+}
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        self.requests.desk.close(self.id);
+        self.requests.open_ids.borrow_mut().remove(&self.name);
+    }
+}
--- /dev/null
+++ b/engine/src/tasks.rs
@@ -0,0 +1,44 @@
+//! The one executor, of one thread: urgent tasks go ahead of all others.
+
+use async_executor::{LocalExecutor, Task};
+use futures_lite::future::{or, yield_now};
+
+/// Ticks of the executor before the sockets are looked at again.
+const TICKS: usize = 64;
+
+/// All tasks of one node.
+#[derive(Default)]
+pub struct Tasks {
+    urgent: LocalExecutor<'static>,
+    ordinary: LocalExecutor<'static>,
+}
+
+impl Tasks {
+    /// Starts a task that nobody waits for.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.ordinary.spawn(task).detach();
+    }
+
+    /// Starts a task that ends when what it returns is dropped.
+    pub fn hold(&self, task: impl Future<Output = ()> + 'static) -> Task<()> {
+        self.ordinary.spawn(task)
+    }
+
+    /// Starts a task that goes before all others whenever it can run: news of draining boxes and births.
+    pub fn spawn_urgent(&self, task: impl Future<Output = ()> + 'static) {
+        self.urgent.spawn(task).detach();
+    }
+
+    /// Runs all tasks, for ever.
+    pub async fn run(&self) -> std::convert::Infallible {
+        loop {
+            for _ in 0..TICKS {
+                while self.urgent.try_tick() {}
+                if !self.ordinary.try_tick() {
+                    or(self.urgent.tick(), self.ordinary.tick()).await;
+                }
+            }
+            yield_now().await;
+        }
+    }
+}
--- a/node/src/tests/request.rs
+++ b/engine/src/tests/request.rs
@@ -2,10 +2,11 @@
 //! that may have run.
 
 use super::server_link::{Conduct, conduct, model, play};
-use super::{check, shared};
+use super::shared;
 use crate::ending::Ending;
-use crate::request::{self, Answer, Job, Parcel};
+use crate::job::{Answer, Job, Parcel};
 use proptest::prelude::*;
+use sorrelhaven_standins::check;
 use std::net::TcpListener;
 use std::sync::mpsc;
 
@@ -33,9 +34,9 @@
             executor(listener, script, begun);
             drop(ended);
         });
-        let node = shared::node(address);
-        let at = node.clone();
-        node.spawn_urgent(async move { at.desk.run_timers().await });
+        let engine = shared::engine(address);
+        let at = engine.clone();
+        engine.tasks.spawn_urgent(async move { at.desk.run_timers().await });
         let parcel = Parcel {
             id: "r1".into(),
             method: "POST".into(),
@@ -43,14 +44,14 @@
             headers: Vec::new(),
             body: b"body".to_vec(),
         };
-        let due = node.desk.clock.now() + 400_000;
+        let due = engine.desk.clock.now() + 400_000;
         let job = Job { class: 0, due, hint: Some(50_000), width: 1.0, resent: false, key: 0, parcel };
-        let ticket = request::take(&node, job).expect("no other has its id");
-        let answer = shared::run(&node, ticket.answer());
-        let late = node.desk.clock.now() - due;
+        let ticket = engine.take(job).expect("no other has its id");
+        let answer = shared::run(&engine, ticket.answer());
+        let late = engine.desk.clock.now() - due;
         // All that is out must come to its end, too.
-        shared::run(&node, async {
-            while node.desk.open_requests() > 0 {
+        shared::run(&engine, async {
+            while engine.desk.open_requests() > 0 {
                 futures_lite::future::yield_now().await;
             }
             drop(std::net::TcpStream::connect(address));
--- a/node/src/tests/server_link.rs
+++ b/engine/src/tests/server_link.rs
@@ -1,10 +1,11 @@
 //! The server link as a model: what an executor does, and how the execution must end.
 
-use super::{check, shared};
+use super::shared;
 use crate::ending::Ending;
 use crate::execution::{self, Order};
-use crate::request::{Mail, Parcel};
+use crate::job::{Mail, Parcel};
 use proptest::prelude::*;
+use sorrelhaven_standins::check;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -144,16 +145,16 @@
 
 /// Runs one execution against `address` and gives how it ended, and how many links stand idle after.
 fn execute(address: std::net::SocketAddr, wait: Duration) -> (Ending, bool) {
-    let node = shared::node(address);
+    let engine = shared::engine(address);
     let (mail, inbox) = async_channel::unbounded();
     let (worker, deadline) = (WorkerId(0), Instant::now() + wait);
     let order = Order { attempt: 0, worker, deadline };
-    shared::run(&node, execution::run(node.clone(), parcel(), order, mail));
+    shared::run(&engine, execution::run(engine.ways.clone(), parcel(), order, mail));
     let endings: Vec<Ending> = std::iter::from_fn(|| inbox.try_recv().ok())
         .filter_map(|m| if let Mail::Ended { ending, .. } = m { Some(ending) } else { None })
         .collect();
     assert_eq!(endings.len(), 1, "one outcome: {endings:?}");
-    (endings[0].clone(), node.links.take(worker, address).is_some())
+    (endings[0].clone(), engine.ways.links.take(worker, address).is_some())
 }
 
 #[test]
@@ -197,11 +198,11 @@
 #[test]
 fn no_descriptor_is_told_as_never_sent() {
     assert_eq!(Ending::NoDescriptor.outcome(), Outcome::Moot);
-    let node = shared::node("127.0.0.1:1".parse().expect("an address"));
-    let held: Vec<_> = std::iter::from_fn(|| node.links.permit()).collect();
+    let engine = shared::engine("127.0.0.1:1".parse().expect("an address"));
+    let held: Vec<_> = std::iter::from_fn(|| engine.ways.links.permit()).collect();
     let order = Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_secs(9) };
     let (mail, inbox) = async_channel::unbounded();
-    shared::run(&node, execution::run(node.clone(), parcel(), order, mail));
+    shared::run(&engine, execution::run(engine.ways.clone(), parcel(), order, mail));
     let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
     assert_eq!(ending, Ending::NoDescriptor, "with {} held", held.len());
 }
@@ -212,8 +213,8 @@
 fn a_stale_link_shortens_the_keeping_of_all() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("its address");
-    let node = shared::node(address);
-    let before = node.links.kept();
+    let engine = shared::engine(address);
+    let before = engine.ways.links.kept();
     let executor = std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("the node connects");
         let mut byte = [0];
@@ -222,16 +223,16 @@
     });
     let (mail, inbox) = async_channel::unbounded();
     let order = Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_secs(9) };
-    shared::run(&node, async {
-        let link = node.links.open(address, &node.counters).await.expect("a link");
-        node.links.put(WorkerId(0), link);
+    shared::run(&engine, async {
+        let link = engine.ways.links.open(address).await.expect("a link");
+        engine.ways.links.put(WorkerId(0), link);
         async_io::Timer::after(Duration::from_millis(200)).await;
-        execution::run(node.clone(), parcel(), order, mail).await;
+        execution::run(engine.ways.clone(), parcel(), order, mail).await;
     });
     executor.join().expect("the executor ends");
     let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
     assert_eq!((ending.clone(), ending.outcome()), (Ending::Stale, Outcome::Reset));
-    let kept = node.links.kept();
+    let kept = engine.ways.links.kept();
     assert!(before > Duration::from_secs(10) && kept >= Duration::from_millis(100), "{before:?} {kept:?}");
     assert!(kept < Duration::from_secs(5), "half of what it had stood: {kept:?}");
 }
@@ -241,14 +242,14 @@
 fn a_request_that_was_not_written_never_ran() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("its address");
-    let node = shared::node(address);
+    let engine = shared::engine(address);
     let (mail, inbox) = async_channel::unbounded();
     let mut parcel = Rc::into_inner(parcel()).expect("no one else has it");
     // More than the buffers of both sockets take.
     parcel.body = vec![b'x'; 64 << 20];
     let order =
         Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_millis(200) };
-    shared::run(&node, execution::run(node.clone(), Rc::new(parcel), order, mail));
+    shared::run(&engine, execution::run(engine.ways.clone(), Rc::new(parcel), order, mail));
     let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
     assert_eq!((ending.clone(), ending.outcome()), (Ending::LateUnwritten, Outcome::ConnectFailed));
 }
@@ -258,15 +259,15 @@
 fn a_stale_link_is_not_taken_and_not_sent_on_again() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("its address");
-    let node = shared::node(address);
-    shared::run(&node, async {
-        let link = node.links.open(address, &node.counters).await.expect("a link");
-        node.links.put(WorkerId(0), link);
+    let engine = shared::engine(address);
+    shared::run(&engine, async {
+        let link = engine.ways.links.open(address).await.expect("a link");
+        engine.ways.links.put(WorkerId(0), link);
     });
     drop(listener.accept().expect("the node's link"));
     let until = Instant::now() + Duration::from_secs(10);
-    while node.links.take(WorkerId(0), address).is_some_and(|link| {
-        node.links.put(WorkerId(0), link);
+    while engine.ways.links.take(WorkerId(0), address).is_some_and(|link| {
+        engine.ways.links.put(WorkerId(0), link);
         Instant::now() < until
     }) {}
     assert!(Instant::now() < until, "a link that the executor has closed was kept");
--- a/node/src/tests/watch.rs
+++ b/engine/src/tests/watch.rs
@@ -1,7 +1,6 @@
 //! The watch on the host group against an agent that answers, breaks off, talks nonsense and falls silent.
 
 use super::shared;
-use crate::host_group;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use stepusher::WorkerId;
@@ -62,7 +61,7 @@
         let mut again = next();
         assert_eq!(target(&mut again), "/registry/instances?watch=1&after=7");
     });
-    let node = shared::node("127.0.0.1:1".parse().expect("an address"));
+    let engine = shared::engine("127.0.0.1:1".parse().expect("an address"));
     let (done, stop) = async_channel::bounded::<()>(1);
     let waiter = std::thread::spawn(move || {
         let end = agent.join();
@@ -70,10 +69,11 @@
         end
     });
     let (_moves, never) = async_channel::unbounded();
-    node.spawn_urgent(host_group::watch(node.clone(), address, 1, never));
-    shared::run(&node, async { _ = stop.recv().await });
+    let at = engine.clone();
+    engine.tasks.spawn_urgent(async move { at.watch(address, 1, never).await });
+    shared::run(&engine, async { _ = stop.recv().await });
     waiter.join().expect("the waiter").expect("the agent saw what it should");
-    let port = |n: u32| node.host_group.address(WorkerId(n)).map(|a| a.port());
+    let port = |n: u32| engine.ways.host_group.address(WorkerId(n)).map(|a| a.port());
     assert_eq!([port(0), port(1), port(2), port(3)], [Some(1), Some(2), Some(3), None]);
-    assert_eq!(node.counters.lists.to_string(), "2");
+    assert_eq!(engine.counters.lists.to_string(), "2");
 }
--- /dev/null
+++ b/front/http1/src/lib.rs
@@ -0,0 +1,27 @@
+//! The platform's front: clients that speak HTTP/1.1, and `/health/ready`.
+//!
+//! A client link carries requests one after the other. Each becomes a `Job` for the engine; its one `Answer`
+//! becomes 200, 503 or 502. What is no job is answered by the protocol alone (400, 404, 405, 408, 409, 413, 431).
+//!
+//! ```no_run
+//! use sorrelhaven_config::Config;
+//! use sorrelhaven_engine::Engine;
+//! use sorrelhaven_front_http1::{Front, accept, listen};
+//!
+//! let config = Config::load(|name| std::env::var(name).ok())?;
+//! let engine = Engine::new(&config);
+//! let front = Front::new(engine.clone(), &config);
+//! let listener = listen(config.listen)?;
+//! engine.tasks.spawn(accept(front, listener, std::future::pending()));
+//! async_io::block_on(engine.tasks.run());
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod accept;
+mod front;
+mod link;
+mod read;
+mod response;
+
+pub use accept::{accept, listen};
+pub use front::{Counters, Front};
--- a/node/src/tests/client_link.rs
+++ b/front/http1/tests/client_link.rs
@@ -1,9 +1,13 @@
 //! The client link as a model: what clients send one after the other, and what each gets.
 
-use super::{check, shared};
-use crate::front;
 use async_io::Async;
+use futures_lite::future::or;
 use proptest::prelude::*;
+use sorrelhaven_config::Config;
+use sorrelhaven_engine::Engine;
+use sorrelhaven_front_http1::{Front, accept};
+use sorrelhaven_standins::{check, one_box};
+use sorrelhaven_wire::{Head, Start};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 
@@ -45,8 +49,8 @@
 /// The statuses that stand in what a client has got.
 fn statuses(mut got: &[u8]) -> Vec<u16> {
     let mut found = Vec::new();
-    while let Ok(Some((head, used))) = crate::http::Head::answer(got) {
-        let crate::http::Start::Answer { status } = head.start else { break };
+    while let Ok(Some((head, used))) = Head::answer(got) {
+        let Start::Answer { status } = head.start else { break };
         let length: usize = head.get("Content-Length").and_then(|l| l.parse().ok()).expect("a length");
         got = &got[used + length..];
         found.push(status);
@@ -68,7 +72,10 @@
             }
             open &= goes_on;
         }
-        let node = shared::node("127.0.0.1:1".parse().expect("an address"));
+        let config = one_box("127.0.0.1:1".parse().expect("an address"), "at_most_once");
+        let config = Config::parse(&config, |_| None).expect("a configuration");
+        let engine = Engine::new(&config);
+        let front = Front::new(engine.clone(), &config);
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let client = std::thread::spawn(move || {
@@ -88,10 +95,9 @@
             drop(gone);
             got
         });
-        shared::run(&node, async {
-            let listener = Async::new(listener).expect("a listener");
-            front::accept(node.clone(), listener, async { _ = stop.recv().await }).await;
-        });
+        let listener = Async::new(listener)?;
+        let serve = accept(front, listener, async { _ = stop.recv().await });
+        async_io::block_on(or(serve, async { match engine.tasks.run().await {} }));
         let got = waiter.join().expect("the client's answers");
         prop_assert_eq!(statuses(&got), expected);
         Ok(())
--- /dev/null
+++ b/wire/src/link.rs
@@ -0,0 +1,139 @@
+//! A connection with what has come on it, every buffer bounded.
+
+use crate::body::Body;
+use crate::fault::Fault;
+use crate::head::{HEAD_MOST, Head, Parsed};
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+use futures_lite::future::yield_now;
+use std::io::{self, Read};
+use std::net::TcpStream;
+
+/// The most a body may hold, by the protocol, in bytes.
+pub const BODY_MOST: usize = 64 * 1024;
+/// The most that is still taken from a connection that is given up.
+const LINGER_MOST: usize = 4 * BODY_MOST;
+
+/// A connection and what has come on it and was not used yet.
+pub struct Link {
+    stream: Async<TcpStream>,
+    buffer: Vec<u8>,
+}
+
+impl Link {
+    /// Small messages must not wait for more to go with them: Nagle is off.
+    pub fn new(stream: Async<TcpStream>) -> io::Result<Link> {
+        stream.get_ref().set_nodelay(true)?;
+        Ok(Link { stream, buffer: Vec::new() })
+    }
+
+    /// Bytes that have come and were not used.
+    pub fn pending(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Waits for more bytes. Nothing is lost if the wait is dropped.
+    pub async fn fill(&mut self) -> Result<(), Fault> {
+        loop {
+            match self.read() {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.stream.readable().await.map_err(|_| Fault::Broken)?;
+                }
+                Err(_) => return Err(Fault::Broken),
+                Ok(0) => return Err(Fault::Closed),
+                Ok(_) => return Ok(()),
+            }
+        }
+    }
+
+    /// Takes what has come. Not in `fill`, where the piece would be part of every waiting task.
+    fn read(&mut self) -> io::Result<usize> {
+        let mut piece = [0; 8 * 1024];
+        let n = self.stream.get_ref().read(&mut piece)?;
+        self.buffer.extend_from_slice(&piece[..n]);
+        Ok(n)
+    }
+
+    /// Waits until the other side has ended the connection; reads no further than one head ahead.
+    pub async fn ended(&mut self) {
+        while self.buffer.len() < HEAD_MOST {
+            if self.fill().await.is_err() {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Whether something has come, or the other side has ended the connection, while it stood idle.
+    pub fn disturbed(&self) -> bool {
+        let quiet = |e: &io::Error| e.kind() == io::ErrorKind::WouldBlock;
+        !self.buffer.is_empty() || !self.stream.get_ref().peek(&mut [0]).is_err_and(|e| quiet(&e))
+    }
+
+    /// Writes all of it.
+    pub async fn write(&mut self, bytes: &[u8]) -> Result<(), Fault> {
+        self.stream.write_all(bytes).await.map_err(|_| Fault::Broken)
+    }
+
+    /// Ends the sending, and takes some of what still comes, so that the last answer is not lost to a reset.
+    pub async fn linger(&mut self) {
+        if self.stream.get_ref().shutdown(std::net::Shutdown::Write).is_ok() {
+            let mut taken = 0;
+            while taken < LINGER_MOST {
+                taken += std::mem::take(&mut self.buffer).len();
+                if self.fill().await.is_err() {
+                    return;
+                }
+                // One that sends at full speed must not keep the others waiting.
+                yield_now().await;
+            }
+        }
+    }
+
+    /// Reads a head.
+    pub async fn head(&mut self, parse: fn(&[u8]) -> Parsed) -> Result<Head, Fault> {
+        loop {
+            if let Some((head, used)) = parse(&self.buffer)? {
+                self.buffer.drain(..used);
+                return Ok(head);
+            }
+            self.fill().await?;
+        }
+    }
+
+    /// Takes more of a body into `out`; false once it is complete.
+    pub async fn more(&mut self, body: &mut Body, out: &mut Vec<u8>) -> Result<bool, Fault> {
+        loop {
+            let before = out.len();
+            let used = body.decode(&self.buffer, out)?;
+            self.buffer.drain(..used);
+            if out.len() > before {
+                return Ok(true);
+            }
+            if *body == Body::Done {
+                return Ok(false);
+            }
+            match self.fill().await {
+                Err(Fault::Closed) if *body == Body::UntilClosed => *body = Body::Done,
+                filled => filled?,
+            }
+        }
+    }
+
+    /// Reads a whole body, up to the protocol's bound.
+    pub async fn whole(&mut self, mut body: Body) -> Result<Vec<u8>, Fault> {
+        if matches!(body, Body::Length(n) if n > BODY_MOST) {
+            return Err(Fault::BodyTooLarge);
+        }
+        let mut out = Vec::new();
+        while self.more(&mut body, &mut out).await? {
+            if out.len() > BODY_MOST {
+                return Err(Fault::BodyTooLarge);
+            }
+        }
+        // One large message must not leave every link with a large buffer for good.
+        self.buffer.shrink_to(HEAD_MOST);
+        Ok(out)
+    }
+}
--- a/node/src/tests/shared.rs
+++ b/wire/tests/framing.rs
@@ -1,38 +1,14 @@
-//! What the tests of both kinds of link share: a node in this thread, and heads and bodies.
+//! Heads and bodies: cut anywhere, malformed, or plain nonsense.
 
-use crate::http::{Body, Fault, Head};
-use crate::node::Node;
-use futures_lite::future::or;
 use proptest::prelude::*;
-use sorrelhaven_config::Config;
-use std::net::SocketAddr;
-use std::rc::Rc;
-
-/// A node that knows one executor, `s-1` at `dial`.
-pub fn node(dial: SocketAddr) -> Rc<Node> {
-    let text = format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
-            "limits":{{"sockets":256}},
-            "known":{{"seq":1,"hosts":[{{"host":"s-1","dial":"{dial}","health":"in_service"}}]}},
-            "settings":{{"balancers":1,"ceilings":{{"maxAttempts":3,"dialTimeout":250000}},"invariants":{{}},
-                "grades":[{{"name":"fee","aim":200000,"deadline":5000000,"effect":"at_most_once"}}]}}}}"#
-    );
-    Node::new(Config::parse(&text, |_| None).expect("a configuration")).0
-}
-
-/// Runs the node's tasks until `work` is done.
-pub fn run<T>(node: &Rc<Node>, work: impl Future<Output = T>) -> T {
-    async_io::block_on(or(work, async {
-        node.run().await;
-        unreachable!("a node's tasks run for ever")
-    }))
-}
+use sorrelhaven_standins::check;
+use sorrelhaven_wire::{Body, Fault, Head};
 
 /// A body reads the same however the network cuts it, and ends exactly where it ends.
 #[test]
 fn a_chunked_body_reads_the_same_in_any_pieces() {
     let chunks = prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 0..6);
-    super::check(256, (chunks, 1usize..9), |(chunks, step)| {
+    check(256, (chunks, 1usize..9), |(chunks, step)| {
         let mut wire = Vec::new();
         for chunk in &chunks {
             wire.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
@@ -60,7 +36,7 @@
         prop::sample::select(vec!["GET ", "HTTP/1.1 200", "\r\n", "0", "ffffffffffffffff", ":", ";", "\0"]);
     let bytes =
         prop_oneof![odd.prop_map(|s| s.as_bytes().to_vec()), prop::collection::vec(any::<u8>(), 0..9)];
-    super::check(512, prop::collection::vec(bytes, 0..12), |pieces| {
+    check(512, prop::collection::vec(bytes, 0..12), |pieces| {
         let bytes = pieces.concat();
         let _ = (Head::request(&bytes), Head::answer(&bytes));
         for mut body in [Body::Size, Body::Chunk(3), Body::ChunkEnd, Body::Trailer, Body::Length(5)] {
