Command line with clap, and the operators' file with schema, checked as a whole

Need: settings of an installation had no place of their own, and a fault in the platform's file hid those behind it.

The operators' file is read by serde with a schema by schemars; unknown keys are faults that name the nearest known key; check and the start print every fault of both files, SIGHUP reads both whole or not at all. bodies.* are read and checked and act with the next change. Counters are named figures, printed as text or JSON.

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -1,59 +1,26 @@
 //! The one place where configuration is read, checked and given defaults.
 //!
-//! A node reads [`Config`] from a file and its environment; the bench's adapter reads only the settings,
-//! which have the same form on its wire. Every error names the key at fault. Unknown keys pass.
+//! A node reads [`Config`] from the platform's file, its environment and the operators' file ([`Operator`]); the
+//! bench's adapter reads only the settings, which have the same form on its wire. Every fault names its key.
+//! Unknown keys pass in the platform's file and are faults in the operators'.
 
+mod fault;
 mod hosts;
+mod operator;
 mod settings;
 
+pub use fault::{Error, Faults};
 pub use hosts::{Health, Host, HostList, Names, key};
+pub use operator::{Bodies, BodyFiles, BodyMemory, Operator, Unkept};
 pub use settings::settings_from;
 use settings::{Conf, settings};
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::fmt;
 use std::net::SocketAddr;
 use stepusher::{Effect, Micros, Settings};
 
-/// What is wrong with the configuration, and where.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Error {
-    key: String,
-    fault: String,
-}
-
-impl Error {
-    fn new(key: impl Into<String>, fault: impl fmt::Display) -> Self {
-        Error { key: key.into(), fault: fault.to_string() }
-    }
-
-    /// The same fault, seen from the object that holds `key`.
-    fn within(self, parent: &str) -> Self {
-        Error { key: join(parent, &self.key), ..self }
-    }
-}
-
-/// The key's path; a message must stay on one line whatever the key is called.
-fn join(parent: &str, key: &str) -> String {
-    match (parent.is_empty(), key.is_empty() || key == ".") {
-        (_, true) => parent.to_string(),
-        (true, false) => key.to_string(),
-        (false, false) => format!("{parent}.{key}"),
-    }
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let text =
-            if self.key.is_empty() { self.fault.clone() } else { format!("{}: {}", self.key, self.fault) };
-        f.write_str(&text.replace(['\n', '\r'], " "))
-    }
-}
-
-impl std::error::Error for Error {}
-
 /// Reads one value; a fault of form names the key below `parent`.
 fn read<T: DeserializeOwned>(parent: &str, value: Value) -> Result<T, Error> {
     serde_path_to_error::deserialize(value)
@@ -113,6 +80,10 @@
     pub seed: u64,
     /// Descriptors the process may hold.
     pub sockets: usize,
+    /// Memory the process may hold, in megabytes.
+    pub memory_mb: u64,
+    /// What the operators set.
+    pub operator: Operator,
     /// The host group as this node had it last.
     pub known: HostList,
     /// The words for zones and kinds, in the order of the settings.
@@ -131,91 +102,162 @@
 
 /// The keys of the file that only a restart takes over: the module and the listener live on through a reload.
 const RESTART_KEYS: [&str; 5] = ["name", "listen", "seed", "known", "settings"];
+/// The variable that names the operators' file.
+const OPERATOR: &str = "SORRELHAVEN_OPERATOR";
 /// The fewest descriptors that a node can work with.
 const LEAST_SOCKETS: usize = 64;
 /// The least memory that a node can work with.
 const LEAST_MEMORY_MB: u64 = 32;
 
 impl Config {
-    /// Reads the file named by `RELAY_CONFIG`; the other variables come before the file's keys.
-    pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, Error> {
-        Config::parse(&text(&env)?, env)
+    /// Reads the file named by `RELAY_CONFIG`, the other variables coming before its keys, and the operators'
+    /// file named by `SORRELHAVEN_OPERATOR`, if there is one.
+    ///
+    /// # Errors
+    /// All faults of both files.
+    pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, Faults> {
+        let written = text(&env).and_then(|t| value(&t));
+        Config::both(written, &env)
     }
 
-    /// Reads the file again and takes over `discovery` and `limits`, or nothing where any of it is at fault.
-    /// Gives the keys whose change waits for a restart. A `discovery` that has changed in the file goes before
-    /// the variable, which can't follow: it stays what it was when the program started.
-    pub fn reload(&mut self, env: impl Fn(&str) -> Option<String>) -> Result<Vec<&'static str>, Error> {
-        let value = value(&text(&env)?)?;
-        let changed = |key: &str| value.get(key) != self.written.get(key);
-        let moved = changed("discovery") && value.get("discovery").is_some();
+    /// Reads both files again for a node that runs, and gives what it is to run on from now: `discovery`, `limits`
+    /// and the operators' settings as they are now, all else as it was. With it come the keys whose change waits
+    /// for a restart. A `discovery` that has changed in the file goes before the variable, which can't follow: it
+    /// stays what it was when the program started.
+    ///
+    /// # Errors
+    /// All faults of both files; the node then runs on as it was.
+    pub fn reloaded(
+        &self,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<(Config, Vec<&'static str>), Faults> {
+        let written = text(&env).and_then(|t| value(&t));
+        let found = written.as_ref().ok();
+        let changed = |key: &str| found.is_some_and(|v| v.get(key) != self.written.get(key));
+        let moved = changed("discovery") && found.is_some_and(|v| v.get("discovery").is_some());
         let waiting = RESTART_KEYS.into_iter().filter(|&key| changed(key)).collect();
         let env = |name: &str| if moved && name == "RELAY_DISCOVERY" { None } else { env(name) };
-        let next = Config::checked(value, env)?;
+        let read = Config::both(written, &env)?;
+        let mut next = self.clone();
         if moved {
-            self.discovery = next.discovery;
+            next.discovery = read.discovery;
         }
-        self.sockets = next.sockets;
+        (next.sockets, next.memory_mb, next.operator) = (read.sockets, read.memory_mb, read.operator);
         for key in ["discovery", "limits"] {
-            self.written[key] = next.written[key].clone();
+            next.written[key] = read.written[key].clone();
         }
-        Ok(waiting)
+        Ok((next, waiting))
+    }
+
+    /// Reads a configuration's text; the operators' settings have their defaults.
+    ///
+    /// # Errors
+    /// All faults of it.
+    pub fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, Faults> {
+        let env = |name: &str| env(name).filter(|_| name != OPERATOR);
+        Config::both(value(text), &env)
     }
 
-    /// Reads a configuration's text.
-    pub fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, Error> {
-        Config::checked(value(text)?, env)
+    /// The platform's file and the operators', which is checked against its limits.
+    fn both(written: Result<Value, Error>, env: &impl Fn(&str) -> Option<String>) -> Result<Config, Faults> {
+        let config = written.map_err(Faults::from).and_then(|w| Config::checked(w, env));
+        let operator = match env(OPERATOR) {
+            Some(path) => Operator::load(&path),
+            None => Ok(Operator::default()),
+        };
+        let memory_mb = config.as_ref().map_or(u64::MAX, |c| c.memory_mb);
+        let operator = operator.and_then(|o| Faults::unless(o.faults(memory_mb), || o));
+        match (config, operator) {
+            (Ok(config), Ok(operator)) => Ok(Config { operator, ..config }),
+            (Err(faults), Ok(_)) | (Ok(_), Err(faults)) => Err(faults),
+            (Err(a), Err(b)) => Faults::unless(a.into_iter().chain(b).collect(), || unreachable!()),
+        }
     }
 
-    fn checked(written: Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, Error> {
+    fn checked(written: Value, env: &impl Fn(&str) -> Option<String>) -> Result<Config, Faults> {
         let file: File = read("", written.clone())?;
+        let mut faults = Vec::new();
         let told = |variable: &str, key: &str, value: Option<String>| match env(variable) {
             Some(text) => Ok((variable.to_string(), text)),
             None => value.map(|v| (key.to_string(), v)).ok_or_else(|| Error::new(key, "missing")),
         };
-        let address = |(key, text): (String, String)| {
-            text.parse::<SocketAddr>()
-                .map_err(|_| Error::new(key, format!("{text:?} is not an address with a port")))
+        let address = |told: Result<(String, String), Error>| {
+            told.and_then(|(key, text)| {
+                text.parse::<SocketAddr>()
+                    .map_err(|_| Error::new(key, format!("{text:?} is not an address with a port")))
+            })
         };
-        let conf: Conf = read("settings", file.settings)?;
-        let names = Names { zones: conf.zones.clone(), kinds: conf.kinds.clone() };
-        let tenants = conf.projects.iter().map(|p| p.name.clone()).collect();
-        let (grades, keepalive) = (conf.grade_names(), conf.ceilings.keepalive);
-        let settings = settings(conf).map_err(|e| e.within("settings"))?;
-        let keyed = |i: usize| matches!(settings.classes[i].effect, Effect::Keyed { .. });
-        let classes = grades.into_iter().enumerate().map(|(i, name)| ClassName { name, keyed: keyed(i) });
-        let classes: Vec<ClassName> = classes.collect();
-        if let Some(i) = classes.iter().position(|c| c.name.is_empty()) {
-            return Err(Error::new(format!("settings.grades[{i}].name"), "missing"));
-        }
+        let name = keep(&mut faults, told("RELAY_NAME", "name", file.name));
+        let listen = keep(&mut faults, address(told("RELAY_LISTEN", "listen", file.listen)));
+        let discovery = keep(&mut faults, address(told("RELAY_DISCOVERY", "discovery", file.discovery)));
+        let seed = keep(&mut faults, seed(file.seed));
         if file.limits.sockets < LEAST_SOCKETS {
-            return Err(Error::new("limits.sockets", format!("fewer than {LEAST_SOCKETS}")));
+            faults.push(Error::new("limits.sockets", format!("fewer than {LEAST_SOCKETS}")));
         }
         if file.limits.memory_mb < LEAST_MEMORY_MB {
-            return Err(Error::new("limits.memory_mb", format!("less than {LEAST_MEMORY_MB}")));
+            faults.push(Error::new("limits.memory_mb", format!("less than {LEAST_MEMORY_MB}")));
+        }
+        let conf = keep(&mut faults, read::<Conf>("settings", file.settings));
+        let site = conf.and_then(|conf| keep(&mut faults, Site::checked(conf)));
+        let known = file.known.map_or(Ok(HostList::default()), |value| read::<HostList>("known", value));
+        let known = keep(&mut faults, known);
+        if let (Some(known), Some(site)) = (&known, &site) {
+            keep(&mut faults, known.check(&site.names).map_err(|e| e.within("known")));
         }
-        let known: HostList = match file.known {
-            Some(value) => read("known", value)?,
-            None => HostList::default(),
+        let (Some(name), Some(listen), Some(discovery), Some(seed), Some(site), Some(known), true) =
+            (name, listen, discovery, seed, site, known, faults.is_empty())
+        else {
+            return Faults::unless(faults, || unreachable!("whatever is missing has left a fault"));
         };
-        known.check(&names).map_err(|e| e.within("known"))?;
         Ok(Config {
-            name: told("RELAY_NAME", "name", file.name)?.1,
-            listen: address(told("RELAY_LISTEN", "listen", file.listen)?)?,
-            discovery: address(told("RELAY_DISCOVERY", "discovery", file.discovery)?)?,
-            seed: seed(file.seed)?,
+            name: name.1,
+            listen,
+            discovery,
+            seed,
             sockets: file.limits.sockets,
+            memory_mb: file.limits.memory_mb,
+            operator: Operator::default(),
             known,
-            names,
-            classes,
-            tenants,
-            keepalive,
-            settings,
+            names: site.names,
+            classes: site.classes,
+            tenants: site.tenants,
+            keepalive: site.keepalive,
+            settings: site.settings,
             written,
         })
     }
 }
 
+/// Notes what is at fault and goes on.
+fn keep<T>(faults: &mut Vec<Error>, value: Result<T, Error>) -> Option<T> {
+    value.map_err(|fault| faults.push(fault)).ok()
+}
+
+/// What the settings say, to the module and to the rest.
+struct Site {
+    names: Names,
+    classes: Vec<ClassName>,
+    tenants: Vec<String>,
+    keepalive: Micros,
+    settings: Settings,
+}
+
+impl Site {
+    fn checked(conf: Conf) -> Result<Site, Error> {
+        let names = Names { zones: conf.zones.clone(), kinds: conf.kinds.clone() };
+        let tenants = conf.projects.iter().map(|p| p.name.clone()).collect();
+        let (grades, keepalive) = (conf.grade_names(), conf.ceilings.keepalive);
+        let settings = settings(conf).map_err(|e| e.within("settings"))?;
+        let keyed = |i: usize| matches!(settings.classes[i].effect, Effect::Keyed { .. });
+        let classes = grades.into_iter().enumerate().map(|(i, name)| ClassName { name, keyed: keyed(i) });
+        let classes: Vec<ClassName> = classes.collect();
+        if let Some(i) = classes.iter().position(|c| c.name.is_empty()) {
+            return Err(Error::new(format!("settings.grades[{i}].name"), "missing"));
+        }
+        Ok(Site { names, classes, tenants, keepalive, settings })
+    }
+}
+
 /// The text of the file named by `RELAY_CONFIG`.
 fn text(env: &impl Fn(&str) -> Option<String>) -> Result<String, Error> {
     let path = env("RELAY_CONFIG").ok_or_else(|| Error::new("RELAY_CONFIG", "not set"))?;
--- a/config/tests/config.rs
+++ b/config/tests/config.rs
@@ -61,19 +61,21 @@
     let first = file(SETTINGS);
     write(&first);
     let mut config = Config::load(env).expect("a configuration");
-    assert_eq!(config.reload(env).expect("the same again"), [""; 0]);
+    assert_eq!(config.reloaded(env).expect("the same again").1, [""; 0]);
     assert_eq!(config.discovery.port(), 9, "what has not changed moves nothing");
 
     let moved = first.replace("10.2.0.1:2", "10.2.0.1:3");
     for bad in ["{", &moved.replace("10.2.0.1:3", "there"), &moved.replace("\"fee\"", "7")] {
         write(bad);
-        config.reload(env).expect_err("a fault");
+        config.reloaded(env).expect_err("a fault");
         assert_eq!((config.discovery.port(), config.sockets), (9, 1024), "the old stays in force");
     }
     let limits = "\"limits\":{\"sockets\":300},\"seed\":\"2f\"";
     write(&moved.replace("\"seed\":\"1f\"", limits));
     for _ in 0..2 {
-        assert_eq!(config.reload(env).expect("a configuration"), ["seed"]);
+        let (next, waiting) = config.reloaded(env).expect("a configuration");
+        assert_eq!(waiting, ["seed"]);
+        config = next;
         assert_eq!((config.discovery.port(), config.sockets, config.seed), (3, 300, 0x1f));
     }
     std::fs::remove_file(&path).expect("it was there");
--- /dev/null
+++ b/config/tests/operator.rs
@@ -0,0 +1,100 @@
+//! The operators' file: what it may leave out, what does not go together, and what each fault is called.
+
+use sorrelhaven_config::{Config, Operator, Unkept};
+
+fn faults(text: &str) -> Vec<String> {
+    let read = Operator::parse(text).and_then(|o| match o.faults(64) {
+        none if none.is_empty() => Ok(o),
+        some => sorrelhaven_config::Faults::unless(some, || unreachable!()),
+    });
+    read.err().into_iter().flatten().map(|e| e.to_string()).collect()
+}
+
+#[test]
+fn an_empty_file_has_every_default() {
+    let operator = Operator::parse("{}").expect("a file");
+    assert_eq!(operator, Operator::default());
+    assert_eq!((operator.bodies.largest_bytes, operator.bodies.unkept), (65_536, Unkept::Stream));
+    assert_eq!(operator.bodies.files.directory, None, "no files unless the operators say where");
+    assert_eq!(operator.faults(32), [], "the defaults fit the smallest node");
+}
+
+/// The example and the schema are what the program says, so neither grows old.
+#[test]
+fn the_example_and_the_schema_in_deploy_are_those_of_the_program() {
+    let read = |name: &str| {
+        let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy").join(name);
+        std::fs::read_to_string(path).expect("a file of this repository")
+    };
+    let example = read("operator.example.json");
+    assert_eq!(Operator::parse(&example).expect("a file"), Operator::default());
+    let written: serde_json::Value = serde_json::from_str(&example).expect("JSON");
+    assert_eq!(written, serde_json::to_value(Operator::default()).expect("plain values"), "every key");
+    assert_eq!(read("operator.schema.json").trim(), Operator::schema().trim());
+}
+
+#[test]
+fn an_unknown_key_is_a_fault_that_names_the_nearest() {
+    assert_eq!(
+        faults(r#"{"bodies":{"memory":{"each_byte":1}}}"#),
+        ["bodies.memory.each_byte: unknown key; did you mean \"each_bytes\"?"]
+    );
+    assert_eq!(faults(r#"{"xyzzy":1}"#), ["xyzzy: unknown key; known are bodies"]);
+}
+
+/// One run names all that is wrong, so that nobody mends a file by trial.
+#[test]
+fn every_fault_is_found_at_once() {
+    let text = r#"{"bodies":{"largest_bytes":"big","unkept":"drop","memory":{"total_bytes":-1,"each":1}}}"#;
+    let found = faults(text);
+    let keys: Vec<&str> = found.iter().map(|f| f.split(": ").next().expect("a key")).collect();
+    assert_eq!(
+        keys,
+        ["bodies.memory.each", "bodies.largest_bytes", "bodies.memory.total_bytes", "bodies.unkept"],
+        "{found:?}"
+    );
+}
+
+#[test]
+fn settings_are_checked_against_one_another() {
+    let cases = [
+        (r#""memory":{"each_bytes":9,"total_bytes":8}"#, "bodies.memory.each_bytes: 9 is over"),
+        (r#""memory":{"total_bytes":41943041}"#, "bodies.memory.total_bytes: 41943041 is over 41943040"),
+        (r#""slowest_bytes_per_s":0"#, "bodies.slowest_bytes_per_s: 0 "),
+        (r#""largest_bytes":1099511627777"#, "bodies.largest_bytes: 1099511627777 is over"),
+        (r#""unkept":"refuse","largest_bytes":65537"#, "bodies.largest_bytes: 65537 is over 65536"),
+        (
+            r#""files":{"directory":"/tmp","each_bytes":9},"memory":{"each_bytes":10}"#,
+            "bodies.files.each_bytes: 9 is under",
+        ),
+        (r#""files":{"directory":"/tmp","total_bytes":9}"#, "bodies.files.each_bytes: 16777216 is over"),
+    ];
+    for (body, fault) in cases {
+        let found = faults(&format!("{{\"bodies\":{{{body}}}}}"));
+        assert!(found.len() == 1 && found[0].starts_with(fault), "{body}: {found:?}");
+    }
+    assert_eq!(faults(r#"{"bodies":{"files":{"each_bytes":9}}}"#), [""; 0], "without files no matter");
+}
+
+/// A file that is not there is named by how it was asked for; both files' faults come together.
+#[test]
+fn faults_of_both_files_come_together() {
+    let dir = std::env::temp_dir().join(format!("sorrelhaven-both-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a directory");
+    let path = |name: &str| dir.join(name).display().to_string();
+    std::fs::write(path("p"), r#"{"listen":"here","settings":{}}"#).expect("a file");
+    std::fs::write(path("o"), r#"{"bodys":{}}"#).expect("a file");
+    let load = |operator: &str| {
+        let (platform, operator) = (path("p"), path(operator));
+        let env = move |name: &str| match name {
+            "RELAY_CONFIG" => Some(platform.clone()),
+            "SORRELHAVEN_OPERATOR" => Some(operator.clone()),
+            _ => None,
+        };
+        let faults = Config::load(env).expect_err("faults");
+        faults.iter().map(|f| f.key().to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(load("o"), ["name", "listen", "discovery", "seed", "settings", "bodys"]);
+    assert_eq!(load("none").last().expect("a fault"), "SORRELHAVEN_OPERATOR");
+    std::fs::remove_dir_all(&dir).expect("it was there");
+}
--- a/engine/src/counters.rs
+++ b/engine/src/counters.rs
@@ -1,7 +1,6 @@
 //! What the node has taken in, sent and answered.
 
 use std::cell::Cell;
-use std::fmt;
 use stepusher::Outcome;
 
 /// One count.
@@ -13,11 +12,10 @@
     pub fn add(&self) {
         self.0.set(self.0.get() + 1);
     }
-}
 
-impl fmt::Display for Count {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.get().fmt(f)
+    /// The count so far.
+    pub fn get(&self) -> u64 {
+        self.0.get()
     }
 }
 
@@ -71,14 +69,24 @@
     }
 }
 
-impl fmt::Display for Counters {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "taken={} served={} throttled={}", self.taken, self.served, self.throttled)?;
-        write!(f, " failed={} lapsed={} sent={}", self.failed, self.lapsed, self.sent)?;
-        for (name, count) in OUTCOMES.iter().zip(&self.outcomes) {
-            write!(f, " {name}={count}")?;
-        }
-        write!(f, " server_links={}", self.server_links)?;
-        write!(f, " probes={} lists={} watches_broken={}", self.probes, self.lists, self.watches_broken)
+impl Counters {
+    /// All counts with their names, in the order in which they are shown.
+    pub fn figures(&self) -> Vec<(&'static str, u64)> {
+        let mut figures = vec![
+            ("taken", self.taken.get()),
+            ("served", self.served.get()),
+            ("throttled", self.throttled.get()),
+            ("failed", self.failed.get()),
+            ("lapsed", self.lapsed.get()),
+            ("sent", self.sent.get()),
+        ];
+        figures.extend(OUTCOMES.iter().zip(&self.outcomes).map(|(name, count)| (*name, count.get())));
+        figures.extend([
+            ("server_links", self.server_links.get()),
+            ("probes", self.probes.get()),
+            ("lists", self.lists.get()),
+            ("watches_broken", self.watches_broken.get()),
+        ]);
+        figures
     }
 }
--- a/engine/src/tests/watch.rs
+++ b/engine/src/tests/watch.rs
@@ -75,5 +75,5 @@
     waiter.join().expect("the waiter").expect("the agent saw what it should");
     let port = |n: u32| engine.ways.host_group.address(WorkerId(n)).map(|a| a.port());
     assert_eq!([port(0), port(1), port(2), port(3)], [Some(1), Some(2), Some(3), None]);
-    assert_eq!(engine.counters.lists.to_string(), "2");
+    assert_eq!(engine.counters.lists.get(), 2);
 }
--- a/front/http1/src/front.rs
+++ b/front/http1/src/front.rs
@@ -4,7 +4,6 @@
 use sorrelhaven_config::{ClassName, Config};
 use sorrelhaven_engine::{Count, Engine, Links};
 use std::cell::Cell;
-use std::fmt;
 use std::rc::Rc;
 
 /// What this front has taken in, beside the engine's counts.
@@ -16,9 +15,10 @@
     pub malformed: Count,
 }
 
-impl fmt::Display for Counters {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "client_links={} malformed={}", self.client_links, self.malformed)
+impl Counters {
+    /// All counts with their names, in the order in which they are shown.
+    pub fn figures(&self) -> [(&'static str, u64); 2] {
+        [("client_links", self.client_links.get()), ("malformed", self.malformed.get())]
     }
 }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,14 +1,18 @@
 //! A node that hands jobs to executors: start, signals, exit.
 
+mod check;
+mod cli;
+
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
+use clap::Parser;
+use cli::{Cli, Command, Common, LogFormat};
 use futures_lite::StreamExt;
 use futures_lite::future::or;
-use sorrelhaven_config::Config;
+use sorrelhaven_config::{Config, Operator};
 use sorrelhaven_engine::Engine;
 use sorrelhaven_front_http1::{self as front, Front};
-use std::fmt;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -22,20 +26,69 @@
 /// How often a closing node looks whether all is answered.
 const CLOSING_LOOK: Duration = Duration::from_millis(20);
 
+/// The exit status where a file is at fault, as where the command line is.
+const AT_FAULT: u8 = 2;
+
 fn main() -> ExitCode {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("sorrelhaven: {message}");
-            ExitCode::FAILURE
+    let cli = Cli::parse();
+    let env = cli.env();
+    match cli.command() {
+        Command::Schema => {
+            println!("{}", Operator::schema());
+            ExitCode::SUCCESS
+        }
+        Command::Check { .. } => match Config::load(env) {
+            Ok(config) => {
+                println!("{}", check::summary(&config));
+                ExitCode::SUCCESS
+            }
+            Err(faults) => {
+                faults.iter().for_each(|fault| println!("{fault}"));
+                ExitCode::from(AT_FAULT)
+            }
+        },
+        Command::Run => {
+            if let Err(message) = log(&cli.common) {
+                eprintln!("sorrelhaven: --log: {message}");
+                return ExitCode::from(AT_FAULT);
+            }
+            let config = match Config::load(&env) {
+                Ok(config) => config,
+                Err(faults) => {
+                    faults.iter().for_each(|fault| eprintln!("sorrelhaven: {fault}"));
+                    return ExitCode::FAILURE;
+                }
+            };
+            match run(config, env, cli.common.log_format) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(message) => {
+                    eprintln!("sorrelhaven: {message}");
+                    ExitCode::FAILURE
+                }
+            }
         }
     }
 }
 
-fn start() -> Result<(), String> {
-    let config = Config::load(|name| std::env::var(name).ok()).map_err(|e| e.to_string())?;
+/// Sets up the log on standard error.
+fn log(common: &Common) -> Result<(), String> {
+    let filter = match &common.log {
+        Some(directives) => EnvFilter::try_new(directives).map_err(|e| e.to_string())?,
+        None => EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info")),
+    };
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match common.log_format {
+        LogFormat::Text => log.with_ansi(false).init(),
+        LogFormat::Json => log.json().flatten_event(true).init(),
+    }
+    Ok(())
+}
+
+fn run(
+    config: Config,
+    env: impl Fn(&str) -> Option<String> + 'static,
+    format: LogFormat,
+) -> Result<(), String> {
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
         .map_err(|e| format!("signals: {e}"))?;
     let (listen, discovery, seq) = (config.listen, config.discovery, config.known.seq);
@@ -48,13 +101,13 @@
     let (moves, moved) = async_channel::unbounded();
     engine.start(discovery, seq, moved);
     let (stop, stopped) = async_channel::bounded(1);
-    let node = Node { engine: engine.clone(), front: front.clone() };
+    let node = Node { engine: engine.clone(), front: front.clone(), format };
     let tasks = engine.tasks.clone();
-    tasks.spawn_urgent(node.obey(signals, config, moves, stop));
-    let node = Node { engine, front };
+    tasks.spawn_urgent(node.obey(signals, config, env, moves, stop));
+    let node = Node { engine, front, format };
     let serve = node.serve(listener, stopped);
     async_io::block_on(or(serve, async { match tasks.run().await {} }));
-    eprintln!("sorrelhaven: {node}");
+    node.count();
     Ok(())
 }
 
@@ -62,28 +115,39 @@
 struct Node {
     engine: Rc<Engine>,
     front: Rc<Front>,
+    format: LogFormat,
 }
 
-/// The counters, on one line.
-impl fmt::Display for Node {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}", self.engine.counters, self.front.counters)
+impl Node {
+    /// Prints the counters, on one line.
+    fn count(&self) {
+        let figures = self.engine.counters.figures().into_iter().chain(self.front.counters.figures());
+        match self.format {
+            LogFormat::Text => {
+                let figures: Vec<String> = figures.map(|(name, count)| format!("{name}={count}")).collect();
+                eprintln!("sorrelhaven: {}", figures.join(" "));
+            }
+            LogFormat::Json => {
+                let figures = figures.map(|(name, count)| (name.to_string(), count.into()));
+                let figures: serde_json::Map<String, serde_json::Value> = figures.collect();
+                eprintln!("{}", serde_json::json!({ "counters": figures }));
+            }
+        }
     }
-}
 
-impl Node {
     /// Does what signals ask for, to the program's end: a node that closes is still told where discovery is.
     async fn obey(
         self,
         mut signals: Signals,
         mut config: Config,
+        env: impl Fn(&str) -> Option<String>,
         moves: Sender<SocketAddr>,
         stop: Sender<()>,
     ) {
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Usr1) => eprintln!("sorrelhaven: {self}"),
-                Ok(Signal::Hup) => self.reload(&mut config, &moves),
+                Ok(Signal::Usr1) => self.count(),
+                Ok(Signal::Hup) => self.reload(&mut config, &env, &moves),
                 Ok(_) => {
                     // A second one finds the first in force.
                     let _ = stop.try_send(());
@@ -93,22 +157,21 @@
         }
     }
 
-    /// Reads the configuration again. What is at fault changes nothing.
-    fn reload(&self, config: &mut Config, moves: &Sender<SocketAddr>) {
-        let before = config.discovery;
-        match config.reload(|name| std::env::var(name).ok()) {
-            Ok(waiting) => {
-                self.engine.ways.links.descriptors.resize(config.sockets);
-                if config.discovery != before {
-                    // The watch runs as long as the node.
-                    let _ = moves.try_send(config.discovery);
-                }
-                info!(discovery = %config.discovery, sockets = config.sockets, "the configuration was read again");
-                if !waiting.is_empty() {
-                    warn!(keys = waiting.join(", "), "these have changed and wait for a restart");
-                }
-            }
-            Err(error) => warn!(%error, "the configuration stays as it was"),
+    /// Reads both files again. What is at fault changes nothing.
+    fn reload(&self, config: &mut Config, env: &impl Fn(&str) -> Option<String>, moves: &Sender<SocketAddr>) {
+        let (next, waiting) = match config.reloaded(env) {
+            Ok(read) => read,
+            Err(error) => return warn!(%error, "the configuration stays as it was"),
+        };
+        self.engine.ways.links.descriptors.resize(next.sockets);
+        if next.discovery != config.discovery {
+            // The watch runs as long as the node.
+            let _ = moves.try_send(next.discovery);
+        }
+        *config = next;
+        info!(discovery = %config.discovery, sockets = config.sockets, "the configuration was read again");
+        if !waiting.is_empty() {
+            warn!(keys = waiting.join(", "), "these have changed and wait for a restart");
         }
     }
 
--- /dev/null
+++ b/node/tests/command.rs
@@ -0,0 +1,76 @@
+//! The command line: what each command prints and how it exits.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn sorrelhaven(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sorrelhaven"));
+    for name in ["RELAY_CONFIG", "RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "SORRELHAVEN_OPERATOR"] {
+        command.env_remove(name);
+    }
+    command.args(args).output().expect("it runs")
+}
+
+fn deploy(name: &str) -> String {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../deploy").join(name).display().to_string()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn check_says_in_one_line_what_holds() {
+    let operator = deploy("operator.example.json");
+    let output = sorrelhaven(&["check", "--operator", &operator, &deploy("example.json")]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let said = text(&output.stdout);
+    assert_eq!(said.lines().count(), 1, "{said}");
+    assert!(
+        said.starts_with("n0 listens on 127.0.0.1:8080; 2 classes, 3 state offices, 1 boxes known"),
+        "{said}"
+    );
+    assert!(
+        said.contains("bodies of at most 64 KiB, in memory 64 KiB each, 8 MiB in all, in no files"),
+        "{said}"
+    );
+}
+
+#[test]
+fn check_prints_each_fault_on_a_line_and_exits_with_2() {
+    let path = std::env::temp_dir().join(format!("sorrelhaven-check-{}.json", std::process::id()));
+    std::fs::write(&path, r#"{"bodies":{"larges_bytes":1,"unkept":"drop","memory":{"total_bytes":1}}}"#)
+        .expect("a file");
+    let operator = path.display().to_string();
+    let output = sorrelhaven(&["--operator", &operator, "check", &deploy("example.json")]);
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    let said = text(&output.stdout);
+    let lines: Vec<&str> = said.lines().collect();
+    assert_eq!(lines.len(), 2, "{said}");
+    assert_eq!(lines[0], "bodies.larges_bytes: unknown key; did you mean \"largest_bytes\"?");
+    assert!(lines[1].starts_with("bodies.unkept: unknown variant `drop`"), "{said}");
+    std::fs::write(&path, r#"{"bodies":{"memory":{"total_bytes":1}}}"#).expect("a file");
+    let said = text(&sorrelhaven(&["--operator", &operator, "check", &deploy("example.json")]).stdout);
+    assert_eq!(said.trim(), "bodies.memory.each_bytes: 65536 is over memory.total_bytes, 1");
+    std::fs::remove_file(&path).expect("it was there");
+    let output = sorrelhaven(&["check"]);
+    assert_eq!((output.status.code(), text(&output.stdout).trim()), (Some(2), "RELAY_CONFIG: not set"));
+}
+
+#[test]
+fn schema_is_json_that_names_every_key() {
+    let output = sorrelhaven(&["schema"]);
+    assert!(output.status.success());
+    let schema: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert!(schema.pointer("/$defs/BodyFiles/properties/leave_free_bytes/maximum").is_some(), "{schema}");
+}
+
+#[test]
+fn a_wrong_command_line_exits_with_2_and_says_how() {
+    let output = sorrelhaven(&["sing"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("unrecognized subcommand 'sing'"), "{output:?}");
+    let output = sorrelhaven(&["run", "--log", "[[["]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).starts_with("sorrelhaven: --log: "), "{output:?}");
+}
