--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -203,6 +203,7 @@
                 width: m.width.unwrap_or(1.0),
                 resent: m.resent,
                 key: m.object.map_or(0, |word| sorrelhaven_config::key(&word)),
+                sendable: true,
             }),
             Message::Notice { call, worker, kind, amount, attempt } => {
                 let Some(&request) = instance.requests.get(&*call) else { return Ok(()) };
--- /dev/null
+++ b/bodies/src/spool.rs
@@ -0,0 +1,700 @@
+//! The I/O part: takes a body in as it comes, keeps it where the plan says, and gives it out to executions.
+//!
+//! A body is a row of blocks. Those at the front may be in a file, with a checksum each; the rest is in memory. A
+//! [`Writer`] takes it in, any number of [`Reader`]s give it out from the first byte on, also while it still comes.
+
+use crate::disk::{Disk, DiskFile, is_full};
+use crate::end::{End, Unreadable};
+use crate::plan::{BodyId, Limits, Now, Plan, Step, Verdict, Why};
+use crate::pool::Pool;
+use crate::settings;
+use event_listener::Event;
+use sorrelhaven_config::{Bodies as Settings, Unkept};
+use std::any::Any;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tracing::{info, warn};
+
+/// The bytes of a block: the unit of files, of their checksums, and of what a reader holds.
+pub const BLOCK: usize = 64 * 1024;
+/// The most of a body that is not kept that may have come and not been passed on.
+const WINDOW: u64 = BLOCK as u64;
+/// One call to the disk that takes longer than this has the disk stepped away from.
+const STALL: Duration = Duration::from_millis(250);
+/// The calls for one body may take so long altogether...
+const SLACK: Duration = Duration::from_millis(200);
+/// ...and beyond that a second for so many bytes; a disk that is slower than this is slower than its clients.
+const SLOWEST: f64 = 16.0 * 1024.0 * 1024.0;
+
+/// What stands for a descriptor in the node's budget; free again when dropped.
+pub type Permit = Box<dyn Any>;
+
+/// A count.
+#[derive(Default)]
+struct Count(Cell<u64>);
+
+impl Count {
+    fn add(&self, n: u64) {
+        self.0.set(self.0.get() + n);
+    }
+}
+
+#[derive(Default)]
+struct Counters {
+    ends: [Count; End::ALL.len()],
+    unkept: [Count; 4],
+    files: Count,
+    moved: Count,
+    corrupt: Count,
+    unread: Count,
+}
+
+/// All bodies of one node.
+pub struct Bodies {
+    plan: RefCell<Plan>,
+    disk: RefCell<Option<Arc<dyn Disk>>>,
+    refuse: Cell<bool>,
+    slowest: Cell<u64>,
+    permit: Box<dyn Fn() -> Option<Permit>>,
+    pool: Pool,
+    start: Instant,
+    pressure: Event,
+    counters: Counters,
+    parts: RefCell<std::collections::HashMap<BodyId, std::rc::Weak<Shared>>>,
+}
+
+impl Bodies {
+    /// Bodies of so many parties (class and state office) by these settings. `disk` is where the settings' directory
+    /// is, and `permit` gives a descriptor from the node's budget for each file.
+    pub fn new(
+        settings: &Settings,
+        parties: usize,
+        disk: Option<Arc<dyn Disk>>,
+        permit: impl Fn() -> Option<Permit> + 'static,
+    ) -> Rc<Bodies> {
+        let limits = settings::limits(settings, disk.is_some());
+        Rc::new(Bodies {
+            plan: RefCell::new(Plan::new(limits, parties)),
+            disk: RefCell::new(disk),
+            refuse: Cell::new(settings.unkept == Unkept::Refuse),
+            slowest: Cell::new(settings.slowest_bytes_per_s),
+            permit: Box::new(permit),
+            pool: Pool::new(),
+            start: Instant::now(),
+            pressure: Event::new(),
+            counters: Counters::default(),
+            parts: RefCell::default(),
+        })
+    }
+
+    /// Other settings, from now on; bodies that are kept stay kept, and those in memory beyond its new bound are moved
+    /// to files where there are any.
+    pub fn configure(&self, settings: &Settings, disk: Option<Arc<dyn Disk>>) {
+        self.plan.borrow_mut().configure(settings::limits(settings, disk.is_some()));
+        *self.disk.borrow_mut() = disk;
+        self.refuse.set(settings.unkept == Unkept::Refuse);
+        self.slowest.set(settings.slowest_bytes_per_s);
+        self.pressure.notify(1);
+    }
+
+    /// Until when a body whose first byte came at `first` keeps the pace, now that so many bytes have come. One is
+    /// given `grace` before it counts.
+    pub fn in_time(&self, first: Instant, grace: Duration, came: u64) -> Instant {
+        first + grace + Duration::from_secs_f64(came as f64 / self.slowest.get().max(1) as f64)
+    }
+
+    /// The limits in force.
+    pub fn limits(&self) -> Limits {
+        self.plan.borrow().limits().clone()
+    }
+
+    /// Bytes held in memory and in files.
+    pub fn held(&self) -> (u64, u64) {
+        self.plan.borrow().held()
+    }
+
+    /// Takes in a body of `party`, which has told its length or not.
+    ///
+    /// # Errors
+    /// `TooLong`, or what becomes of one that can't be kept where such are refused, with the body that has ended so.
+    pub fn begin(self: &Rc<Self>, party: usize, declared: Option<u64>) -> Result<Writer, (End, Spool)> {
+        let (id, verdict) = self.plan.borrow_mut().begin(self.now(), party, declared);
+        let shared = Rc::new(Shared {
+            bodies: self.clone(),
+            id,
+            declared,
+            state: RefCell::default(),
+            changed: Event::new(),
+        });
+        self.parts.borrow_mut().insert(id, Rc::downgrade(&shared));
+        let writer = Writer { shared, disk_time: Duration::ZERO };
+        let begun = match verdict {
+            Verdict::Keep(step) => {
+                writer.shared.state.borrow_mut().step = step;
+                Ok(())
+            }
+            Verdict::Unkept(why) => writer.unkept(why),
+            Verdict::TooLong => Err(writer.end(End::TooLong)),
+        };
+        begun.map_err(|end| (end, writer.spool()))?;
+        Ok(writer)
+    }
+
+    /// Moves whole bodies from memory to files where memory is short; for ever.
+    pub async fn relieve(self: Rc<Self>) {
+        loop {
+            let pressed = self.pressure.listen();
+            let next = self.plan.borrow_mut().relief(self.now());
+            let Some(id) = next else {
+                pressed.await;
+                continue;
+            };
+            let shared = self.parts.borrow().get(&id).and_then(std::rc::Weak::upgrade);
+            if let Some(shared) = shared {
+                let mut writer = Writer { shared, disk_time: Duration::ZERO };
+                let moved = async {
+                    if writer.shared.state.borrow().file.is_none() {
+                        writer.open_file().await?;
+                    }
+                    writer.flush(true).await
+                };
+                let moved = moved.await.is_ok();
+                self.plan.borrow_mut().moved(id);
+                if moved {
+                    writer.shared.state.borrow_mut().step = Step::File;
+                    self.counters.moved.add(1);
+                }
+            }
+        }
+    }
+
+    /// All counts with their names, in the order in which they are shown.
+    pub fn figures(&self) -> Vec<(&'static str, u64)> {
+        let counters = &self.counters;
+        let (memory, files) = self.held();
+        let mut figures: Vec<(&str, u64)> =
+            End::ALL.iter().zip(&counters.ends).map(|(end, count)| (end.name(), count.0.get())).collect();
+        let unkept = ["unkept_budget", "unkept_disk_full", "unkept_disk_failed", "unkept_disk_slow"];
+        figures.extend(unkept.iter().zip(&counters.unkept).map(|(name, count)| (*name, count.0.get())));
+        figures.extend([
+            ("body_files", counters.files.0.get()),
+            ("bodies_moved", counters.moved.0.get()),
+            ("blocks_corrupt", counters.corrupt.0.get()),
+            ("blocks_unread", counters.unread.0.get()),
+            ("memory_bytes", memory),
+            ("file_bytes", files),
+        ]);
+        figures
+    }
+
+    fn now(&self) -> Now {
+        self.start.elapsed()
+    }
+
+    /// The disk has failed a body; says so once until it is well again.
+    fn trouble(&self, id: BodyId, why: Why, error: &str) -> Verdict {
+        let (verdict, news) = self.plan.borrow_mut().trouble(self.now(), id, why);
+        if news {
+            warn!(?why, error, "the disk for bodies is stepped away from");
+        }
+        verdict
+    }
+}
+
+fn place(end: End) -> usize {
+    End::ALL.iter().position(|e| *e == end).unwrap_or(0)
+}
+
+/// A body, shared by its writer, its request and its executions.
+struct Shared {
+    bodies: Rc<Bodies>,
+    id: BodyId,
+    declared: Option<u64>,
+    state: RefCell<State>,
+    changed: Event,
+}
+
+#[derive(Default)]
+struct State {
+    step: Step,
+    /// Bytes that have come.
+    came: u64,
+    /// What is in memory, full blocks but for the last; the first of them begins at `memory_from`.
+    blocks: VecDeque<Arc<Vec<u8>>>,
+    memory_from: u64,
+    /// The descriptor's place in the node's budget.
+    permit: Option<Permit>,
+    /// The file, which holds the first `filed` bytes, with a checksum for each block.
+    file: Option<Arc<Filed>>,
+    filed: u64,
+    sums: Vec<u32>,
+    /// The first byte that is not kept.
+    unkept_from: Option<u64>,
+    /// The reader to which bytes that are not kept were given; no other can have the whole body.
+    passed_to: Option<u64>,
+    readers: u64,
+    end: Option<End>,
+}
+
+/// A file, closed beside the executor.
+struct Filed {
+    file: Option<Box<dyn DiskFile>>,
+}
+
+impl Drop for Filed {
+    fn drop(&mut self) {
+        // The system frees a large file in the call that closes it, which may take a while.
+        if let Some(file) = self.file.take() {
+            blocking::unblock(move || drop(file)).detach();
+        }
+    }
+}
+
+impl State {
+    fn append(&mut self, mut bytes: &[u8], expected: Option<u64>) {
+        while !bytes.is_empty() {
+            let room = match self.blocks.back() {
+                Some(block) if block.len() < BLOCK => BLOCK - block.len(),
+                _ => {
+                    // A body that has told its length has just the room it needs.
+                    let left = expected.map_or(bytes.len() as u64, |e| e.saturating_sub(self.came));
+                    let room = left.clamp(bytes.len().min(BLOCK) as u64, BLOCK as u64) as usize;
+                    self.blocks.push_back(Arc::new(Vec::with_capacity(room)));
+                    BLOCK
+                }
+            };
+            let (now, rest) = bytes.split_at(room.min(bytes.len()));
+            if let Some(block) = self.blocks.back_mut() {
+                Arc::make_mut(block).extend_from_slice(now);
+            }
+            self.came += now.len() as u64;
+            bytes = rest;
+        }
+    }
+
+    /// Drops the blocks that lie wholly before `at`.
+    fn release(&mut self, at: u64) -> u64 {
+        let mut freed = 0;
+        while let Some(block) = self.blocks.front()
+            && self.memory_from + block.len() as u64 <= at
+            && (block.len() == BLOCK || self.end.is_some())
+        {
+            freed += block.len() as u64;
+            self.memory_from += block.len() as u64;
+            self.blocks.pop_front();
+        }
+        freed
+    }
+
+    /// What is in memory from `at` to the end of its block.
+    fn piece(&self, at: u64) -> &[u8] {
+        let from = (at - self.memory_from) as usize;
+        self.blocks.get(from / BLOCK).map_or(&[], |block| &block[(from % BLOCK).min(block.len())..])
+    }
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        self.bodies.parts.borrow_mut().remove(&self.id);
+        self.bodies.plan.borrow_mut().end(self.id);
+    }
+}
+
+impl Shared {
+    fn notify(&self) {
+        self.changed.notify(usize::MAX);
+    }
+}
+
+/// A body as a request holds it: read by its executions, gone when the last of them and the request are.
+#[derive(Clone)]
+pub struct Spool(Rc<Shared>);
+
+impl Spool {
+    /// Its length, where that is known yet.
+    pub fn length(&self) -> Option<u64> {
+        let state = self.0.state.borrow();
+        self.0.declared.or_else(|| state.end.filter(|e| e.is_whole()).map(|_| state.came))
+    }
+
+    /// Where it is kept.
+    pub fn step(&self) -> Step {
+        self.0.state.borrow().step
+    }
+
+    /// How its coming ended; `None` while it comes.
+    pub fn end(&self) -> Option<End> {
+        self.0.state.borrow().end
+    }
+
+    /// Whether bytes that are not kept were passed on: then no other execution can have the whole of it.
+    pub fn passed_on(&self) -> bool {
+        self.0.state.borrow().passed_to.is_some()
+    }
+
+    /// Reads it from its first byte on.
+    pub fn reader(&self) -> Reader {
+        let mut state = self.0.state.borrow_mut();
+        state.readers += 1;
+        let number = state.readers;
+        drop(state);
+        Reader { shared: self.0.clone(), at: 0, number }
+    }
+}
+
+/// Reads a body, for one execution.
+pub struct Reader {
+    shared: Rc<Shared>,
+    at: u64,
+    number: u64,
+}
+
+/// The next step of a reader.
+enum Next {
+    Read { file: Arc<Filed>, offset: u64, length: usize, sum: u32 },
+    Wait,
+    Given,
+    End,
+}
+
+impl Reader {
+    /// Appends the next piece, a block at most, to `out`; false once all was given. Waits for what has not come.
+    ///
+    /// # Errors
+    /// Why it can't be had; what was given before must not be taken for a whole body.
+    pub async fn next(&mut self, out: &mut Vec<u8>) -> Result<bool, Unreadable> {
+        loop {
+            let changed = self.shared.changed.listen();
+            match self.step(out)? {
+                Next::Given => return Ok(true),
+                Next::End => return Ok(false),
+                Next::Wait => changed.await,
+                Next::Read { file, offset, length, sum } => {
+                    let block = read(&self.shared.bodies, file, offset, length, sum).await?;
+                    let from = (self.at - offset) as usize;
+                    out.extend_from_slice(&block[from..]);
+                    self.at = offset + length as u64;
+                    return Ok(true);
+                }
+            }
+        }
+    }
+
+    /// Whether this reader was given bytes that are not kept.
+    pub fn passing_on(&self) -> bool {
+        self.shared.state.borrow().passed_to == Some(self.number)
+    }
+
+    fn step(&mut self, out: &mut Vec<u8>) -> Result<Next, Unreadable> {
+        let Shared { bodies, id, state, .. } = &*self.shared;
+        let state = &mut *state.borrow_mut();
+        if let Some(end) = state.end.filter(|end| !end.is_whole()) {
+            return Err(Unreadable::Ended(end));
+        }
+        if state.passed_to == Some(self.number) {
+            // Whoever comes for more has passed on what it had.
+            let freed = state.release(self.at);
+            if freed > 0 {
+                bodies.plan.borrow_mut().left_memory(*id, freed);
+                self.shared.notify();
+            }
+        }
+        if self.at == state.came {
+            return Ok(if state.end.is_some() { Next::End } else { Next::Wait });
+        }
+        if state.unkept_from.is_some_and(|from| self.at >= from) {
+            match state.passed_to {
+                Some(other) if other != self.number => return Err(Unreadable::PassedOn),
+                Some(_) => {}
+                None => {
+                    // From here on no one else can have the whole body: what was kept of it is of no use.
+                    state.passed_to = Some(self.number);
+                    (state.file, state.permit) = (None, None);
+                    let freed = state.release(self.at);
+                    let mut plan = bodies.plan.borrow_mut();
+                    plan.left_file(*id);
+                    plan.left_memory(*id, freed);
+                    self.shared.notify();
+                }
+            }
+        }
+        if self.at < state.memory_from {
+            let Some(file) = state.file.clone() else { return Err(Unreadable::PassedOn) };
+            let block = self.at / BLOCK as u64;
+            let offset = block * BLOCK as u64;
+            let length = (state.filed - offset).min(BLOCK as u64) as usize;
+            return Ok(Next::Read { file, offset, length, sum: state.sums[block as usize] });
+        }
+        let mut piece = state.piece(self.at);
+        // A piece must not cross into what is not kept: that is given to one reader alone.
+        if let Some(from) = state.unkept_from.filter(|&from| self.at < from) {
+            piece = &piece[..piece.len().min((from - self.at) as usize)];
+        }
+        out.extend_from_slice(piece);
+        self.at += piece.len() as u64;
+        Ok(Next::Given)
+    }
+}
+
+/// Reads a block and checks it. The execution's own deadline bounds the wait.
+async fn read(
+    bodies: &Bodies,
+    file: Arc<Filed>,
+    offset: u64,
+    length: usize,
+    sum: u32,
+) -> Result<Vec<u8>, Unreadable> {
+    let call = move || {
+        let mut block = vec![0; length];
+        let read = match &file.file {
+            Some(file) => file.read_at(&mut block, offset),
+            None => Err(io::ErrorKind::NotFound.into()),
+        };
+        read.map(|()| (crc32fast::hash(&block), block))
+    };
+    let far = Instant::now() + Duration::from_secs(3_600);
+    match bodies.pool.run(far, call).await {
+        Some((Ok((found, block)), _)) if found == sum => Ok(block),
+        Some((Ok(_), _)) => {
+            bodies.counters.corrupt.add(1);
+            warn!(offset, "a body's file does not hold what was written");
+            Err(Unreadable::Corrupt)
+        }
+        Some((Err(error), _)) => {
+            bodies.counters.unread.add(1);
+            warn!(offset, %error, "a body's file can't be read");
+            Err(Unreadable::Failed)
+        }
+        None => Err(Unreadable::Failed),
+    }
+}
+
+/// Takes a body in. Dropped before its end, the body is one whose request was over before it had come.
+pub struct Writer {
+    shared: Rc<Shared>,
+    disk_time: Duration,
+}
+
+impl Writer {
+    /// The body as its request holds it.
+    pub fn spool(&self) -> Spool {
+        Spool(self.shared.clone())
+    }
+
+    /// Bytes that have come.
+    pub fn came(&self) -> u64 {
+        self.shared.state.borrow().came
+    }
+
+    /// Takes in what comes next. Waits while a file is written, or while a body that is not kept is not passed on.
+    ///
+    /// # Errors
+    /// How the body's coming has ended with this.
+    pub async fn push(&mut self, bytes: &[u8]) -> Result<(), End> {
+        let Shared { bodies, id, declared, state, .. } = &*self.shared;
+        let verdict = bodies.plan.borrow_mut().want(bodies.now(), *id, bytes.len() as u64);
+        match verdict {
+            Verdict::TooLong => return Err(self.end(End::TooLong)),
+            Verdict::Keep(step) => {
+                {
+                    let state = &mut *state.borrow_mut();
+                    state.step = step;
+                    state.append(bytes, *declared);
+                }
+                bodies.pressure.notify(1);
+                if step == Step::File {
+                    let kept = async {
+                        if self.shared.state.borrow().file.is_none() {
+                            self.open_file().await?;
+                        }
+                        self.flush(false).await
+                    };
+                    // What the disk did not take is still in memory: only what comes next is not kept.
+                    if let Err(why) = kept.await {
+                        self.unkept(why)?;
+                    }
+                }
+            }
+            Verdict::Unkept(why) => {
+                self.unkept(why)?;
+                self.window().await;
+                self.shared.state.borrow_mut().append(bytes, self.shared.declared);
+            }
+        }
+        self.shared.notify();
+        Ok(())
+    }
+
+    /// All of it has come.
+    pub async fn finish(mut self) -> End {
+        if self.shared.state.borrow().step == Step::File {
+            // What the disk does not take is still in memory, so the body is whole all the same.
+            let _ = self.flush(true).await;
+        }
+        let end = End::whole(match self.shared.state.borrow().unkept_from {
+            Some(_) => Step::Unkept,
+            None => self.shared.state.borrow().step,
+        });
+        let Shared { bodies, id, .. } = &*self.shared;
+        bodies.plan.borrow_mut().whole(*id);
+        bodies.pressure.notify(1);
+        self.end(end)
+    }
+
+    /// It ends here, for this reason.
+    pub fn end(&self, end: End) -> End {
+        let mut state = self.shared.state.borrow_mut();
+        if state.end.is_none() {
+            state.end = Some(end);
+            self.shared.bodies.counters.ends[place(end)].add(1);
+            if !end.is_whole() {
+                // No one can read it any more: what was held is free at once, whoever still knows of it.
+                state.blocks.clear();
+                (state.file, state.permit) = (None, None);
+                let mut plan = self.shared.bodies.plan.borrow_mut();
+                plan.left_memory(self.shared.id, u64::MAX);
+                plan.left_file(self.shared.id);
+            }
+        }
+        drop(state);
+        self.shared.notify();
+        end
+    }
+
+    /// From here on nothing more is kept.
+    fn unkept(&self, why: Why) -> Result<(), End> {
+        let Shared { bodies, state, .. } = &*self.shared;
+        {
+            let state = &mut *state.borrow_mut();
+            if state.unkept_from.is_some() {
+                return Ok(());
+            }
+            state.unkept_from = Some(state.came);
+            state.step = Step::Unkept;
+        }
+        let kind = match why {
+            Why::Budget => 0,
+            Why::DiskFull => 1,
+            Why::DiskFailed => 2,
+            Why::DiskSlow => 3,
+        };
+        bodies.counters.unkept[kind].add(1);
+        if bodies.refuse.get() { Err(self.end(End::unkept(why))) } else { Ok(()) }
+    }
+
+    /// Waits until there is room for more of a body that is not kept.
+    async fn window(&self) {
+        loop {
+            let changed = self.shared.changed.listen();
+            let held = {
+                let state = self.shared.state.borrow();
+                match state.passed_to {
+                    // What was kept counts in the budgets.
+                    None => state.came - state.unkept_from.unwrap_or(0),
+                    Some(_) => state.came - state.memory_from,
+                }
+            };
+            if held < WINDOW {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Makes the body's file.
+    async fn open_file(&mut self) -> Result<(), Why> {
+        let Shared { bodies, id, .. } = &*self.shared;
+        let Some(disk) = bodies.disk.borrow().clone() else { return Err(Why::Budget) };
+        let Some(permit) = (bodies.permit)() else { return Err(Why::Budget) };
+        let call = move || disk.free().and_then(|free| Ok((free, disk.create()?)));
+        let (free, file) = match bodies.pool.run(Instant::now() + STALL, call).await {
+            Some((Ok(made), _)) => made,
+            Some((Err(error), _)) => return Err(self.failed(&error)),
+            None => return Err(self.slow()),
+        };
+        if !bodies.plan.borrow().has_room(*id, free) {
+            bodies.trouble(*id, Why::DiskFull, "it has no more left than is to be left free");
+            return Err(Why::DiskFull);
+        }
+        bodies.counters.files.add(1);
+        let mut state = self.shared.state.borrow_mut();
+        state.file = Some(Arc::new(Filed { file: Some(file) }));
+        state.permit = Some(permit);
+        Ok(())
+    }
+
+    /// Writes the full blocks to the file, all of them where `whole`.
+    async fn flush(&mut self, whole: bool) -> Result<(), Why> {
+        loop {
+            let Shared { bodies, id, state, .. } = &*self.shared;
+            let (file, block, offset) = {
+                let state = state.borrow();
+                let (Some(file), Some(block)) = (&state.file, state.blocks.front()) else { return Ok(()) };
+                if block.len() < BLOCK && !whole || state.end.is_some_and(|e| !e.is_whole()) {
+                    return Ok(());
+                }
+                (file.clone(), block.clone(), state.filed)
+            };
+            let length = block.len() as u64;
+            let call = move || {
+                let sum = crc32fast::hash(&block);
+                match &file.file {
+                    Some(file) => file.write_at(&block, offset).map(|()| sum),
+                    None => Err(io::ErrorKind::NotFound.into()),
+                }
+            };
+            let sum = match bodies.pool.run(Instant::now() + STALL, call).await {
+                Some((Ok(sum), took)) => {
+                    self.disk_time += took;
+                    sum
+                }
+                Some((Err(error), _)) => return Err(self.failed(&error)),
+                None => return Err(self.slow()),
+            };
+            {
+                let state = &mut *state.borrow_mut();
+                // It may have ended while the disk wrote.
+                if state.file.is_some() && state.blocks.pop_front().is_some() {
+                    state.filed += length;
+                    state.memory_from = state.filed;
+                    state.sums.push(sum);
+                }
+            }
+            let well = {
+                let mut plan = bodies.plan.borrow_mut();
+                plan.left_memory(*id, length);
+                plan.disk_well()
+            };
+            if well {
+                info!("the disk for bodies is used again");
+            }
+            let filed = self.shared.state.borrow().filed;
+            if self.disk_time > SLACK + Duration::from_secs_f64(filed as f64 / SLOWEST) {
+                return Err(self.slow());
+            }
+        }
+    }
+
+    fn failed(&self, error: &io::Error) -> Why {
+        let why = if is_full(error) { Why::DiskFull } else { Why::DiskFailed };
+        self.shared.bodies.trouble(self.shared.id, why, &error.to_string());
+        why
+    }
+
+    fn slow(&self) -> Why {
+        self.shared.bodies.trouble(self.shared.id, Why::DiskSlow, "it is slower than the client");
+        Why::DiskSlow
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        if self.shared.state.borrow().end.is_none() {
+            self.end(if self.came() == 0 { End::NeverBegun } else { End::Refused });
+        }
+    }
+}
--- a/engine/src/ending.rs
+++ b/engine/src/ending.rs
@@ -1,5 +1,6 @@
 //! Every way in which a server link's exchange can end, and what each means to the module.
 
+use sorrelhaven_bodies::Unreadable;
 use sorrelhaven_wire::Fault;
 use stepusher::Outcome;
 
@@ -20,6 +21,8 @@
     NoAddress,
     /// The request had its answer before anything was sent.
     Concluded,
+    /// The request's body can't be had whole, so its last byte was not sent: the parcel's failure, not the executor's.
+    Body(Unreadable),
     /// No descriptor was free for a server link.
     NoDescriptor,
     /// The connection was refused or could not be made.
@@ -64,7 +67,7 @@
             Ending::Lost | Ending::Stale | Ending::Broken | Ending::Cut => Outcome::Reset,
             Ending::Silent => Outcome::Timeout,
             Ending::Withdrawn => Outcome::Cancelled,
-            Ending::NoAddress | Ending::Concluded | Ending::NoDescriptor => Outcome::Moot,
+            Ending::NoAddress | Ending::Concluded | Ending::NoDescriptor | Ending::Body(_) => Outcome::Moot,
         }
     }
 
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -12,9 +12,11 @@
 use crate::ways::Ways;
 use async_channel::Receiver;
 use async_io::Timer;
+use sorrelhaven_bodies::{Bodies, Disk, Permit};
 use sorrelhaven_config::{Config, HostList};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use stepusher::{Event, Lifecycle, Members, WorkerId};
 
@@ -31,6 +33,8 @@
     pub desk: Rc<Desk>,
     /// The ways to executors.
     pub ways: Rc<Ways>,
+    /// The bodies of requests.
+    pub bodies: Rc<Bodies>,
     /// The counters.
     pub counters: Rc<Counters>,
     requests: Rc<Requests>,
@@ -38,8 +42,9 @@
 }
 
 impl Engine {
-    /// An engine that has loaded the host group it knew last; nothing runs yet.
-    pub fn new(config: &Config) -> Rc<Engine> {
+    /// An engine that has loaded the host group it knew last; nothing runs yet. `disk` is where bodies are kept in
+    /// files, if anywhere.
+    pub fn new(config: &Config, disk: Option<Arc<dyn Disk>>) -> Rc<Engine> {
         let (ask, probes) = async_channel::unbounded();
         let micros = |t: i64| Duration::from_micros(t.max(0) as u64);
         let connect_limit = match config.settings.limits.connect_timeout {
@@ -52,9 +57,14 @@
         let ways = Rc::new(Ways {
             host_group: HostGroup::new(config.names.clone()),
             links: Links::new(descriptors, micros(config.keepalive), counters.clone()),
+            tasks: tasks.clone(),
             counters: counters.clone(),
             connect_limit,
         });
+        let parties = config.classes.len() * config.tenants.len().max(1);
+        let at = ways.clone();
+        let permit = move || at.links.permit().map(|p| Box::new(p) as Permit);
+        let bodies = Bodies::new(&config.operator.bodies, parties, disk, permit);
         let requests = Rc::new(Requests {
             desk: desk.clone(),
             ways: ways.clone(),
@@ -64,7 +74,7 @@
         });
         let entries = ways.host_group.learn(&config.known);
         desk.tell(Event::Members(Members::Cached(entries)));
-        Rc::new(Engine { tasks, desk, ways, counters, requests, probes })
+        Rc::new(Engine { tasks, desk, ways, bodies, counters, requests, probes })
     }
 
     /// Starts what runs as long as the node: the watch on the host group, which goes on from version `seq` at
@@ -80,6 +90,7 @@
                 at.tasks.spawn(probe::run(at.desk.clone(), at.ways.clone(), worker));
             }
         });
+        self.tasks.spawn(self.bodies.clone().relieve());
         let ways = self.ways.clone();
         self.tasks.spawn(async move {
             loop {
--- a/engine/src/execution.rs
+++ b/engine/src/execution.rs
@@ -8,6 +8,7 @@
 use crate::ways::Ways;
 use async_channel::Sender;
 use serde::Deserialize;
+use sorrelhaven_bodies::BLOCK;
 use sorrelhaven_wire::{BODY_MOST, Fault, Head, Lines, Link, Start, by};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,6 +19,8 @@
 /// After the last job line the end of the answer follows at once, or the link is not worth keeping.
 const ANSWER_END: Duration = Duration::from_secs(1);
 
+/// An answer that was written before the link broke has come by then.
+const EARLY: Duration = Duration::from_millis(50);
 /// A kept link that breaks within this of the request's last byte had gone before.
 const AT_ONCE: Duration = Duration::from_millis(100);
 
@@ -71,7 +74,8 @@
         let _ = mail.try_send(m);
     };
     let end = |ending: Ending| report(Mail::Ended { attempt, ending });
-    let mut server_link = match begin(&ways, &parcel, worker, deadline).await {
+    let begun = begin(&ways, &parcel, worker, deadline, || report(Mail::PassedOn));
+    let mut server_link = match begun.await {
         Ok(link) => link,
         Err(ending) => return end(ending),
     };
@@ -105,20 +109,78 @@
     }
 }
 
-/// Writes the request to a link, kept or new. Until its last byte is written it has never run.
+/// Writes the request to a link, kept or new. Until its last byte is written it has never run. `passed_on` is called
+/// before the first byte of the body that is not kept goes out.
 async fn begin(
     ways: &Ways,
     parcel: &Parcel,
     worker: WorkerId,
     deadline: Instant,
+    passed_on: impl Fn(),
 ) -> Result<ServerLink, Ending> {
     let up_by = deadline.min(Instant::now() + ways.connect_limit);
     let (address, mut link) = by(up_by, ways.link(worker)).await.ok_or(Ending::ConnectLate)??;
-    let bytes = parcel.bytes(&address.to_string(), deadline);
-    match by(deadline, link.link.write(&bytes)).await {
-        Some(Ok(())) => Ok(link),
-        Some(Err(_)) => Err(Ending::BrokenUnwritten),
-        None => Err(Ending::LateUnwritten),
+    let host = address.to_string();
+    by(deadline, write(ways, parcel, &host, deadline, &mut link.link, passed_on))
+        .await
+        .ok_or(Ending::LateUnwritten)??;
+    Ok(link)
+}
+
+/// Writes the head, and the body as it is given out. A body that ends before its time leaves the message incomplete:
+/// the executor sees a broken request, never a whole one.
+async fn write(
+    ways: &Ways,
+    parcel: &Parcel,
+    host: &str,
+    deadline: Instant,
+    link: &mut Link,
+    passed_on: impl Fn(),
+) -> Result<(), Ending> {
+    let mut body = parcel.body.reader();
+    let length = parcel.body.length();
+    let mut out = parcel.head(host, deadline, length);
+    let (mut piece, mut passing, mut more) = (Vec::new(), false, true);
+    while more {
+        more = match length {
+            Some(_) => body.next(&mut out).await,
+            None => {
+                let more = body.next(&mut piece).await;
+                if !piece.is_empty() {
+                    out.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+                    out.append(&mut piece);
+                    out.extend_from_slice(b"\r\n");
+                }
+                if more == Ok(false) {
+                    out.extend_from_slice(b"0\r\n\r\n");
+                }
+                more
+            }
+        }
+        .map_err(Ending::Body)?;
+        if !passing && body.passing_on() {
+            passing = true;
+            passed_on();
+        }
+        if !out.is_empty() && link.write(&out).await.is_err() {
+            return Err(early(link, deadline).await);
+        }
+        if out.len() >= BLOCK {
+            // Large bodies must not keep small jobs waiting.
+            ways.tasks.turn().await;
+        }
+        out.clear();
+    }
+    Ok(())
+}
+
+/// How an execution ended whose link broke before the last byte: an executor may turn a large request away by its head
+/// alone, and end the connection.
+async fn early(link: &mut Link, deadline: Instant) -> Ending {
+    let until = deadline.min(Instant::now() + EARLY);
+    match by(until, Answer::begin(link)).await {
+        Some(Ok(answer)) if answer.returned => Ending::Returned,
+        _ => Ending::BrokenUnwritten,
     }
 }
 
--- a/engine/src/job.rs
+++ b/engine/src/job.rs
@@ -1,6 +1,7 @@
 //! The plain types that cross between fronts, requests, the desk and executions.
 
 use crate::ending::Ending;
+use sorrelhaven_bodies::Spool;
 use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Instant;
@@ -20,6 +21,8 @@
     pub resent: bool,
     /// A number drawn from what it is about; 0 where the client does not say.
     pub key: u64,
+    /// Its body can be sent: false where it could not be kept and such are refused.
+    pub sendable: bool,
     /// What travels to the executor.
     pub parcel: Parcel,
 }
@@ -35,22 +38,24 @@
     /// Further headers that travel on.
     pub headers: Vec<(&'static str, String)>,
     /// Its body.
-    pub body: Vec<u8>,
+    pub body: Spool,
 }
 
 impl Parcel {
-    /// The whole message to the executor at `host`, which is told how long the node waits: to `deadline`.
-    pub fn bytes(&self, host: &str, deadline: Instant) -> Vec<u8> {
+    /// The head of the message to the executor at `host`, which is told how long the node waits: to `deadline`. The
+    /// body goes with its length where that is known, else in chunks.
+    pub fn head(&self, host: &str, deadline: Instant, length: Option<u64>) -> Vec<u8> {
         let left = deadline.saturating_duration_since(Instant::now());
         let mut head = format!("{} {} HTTP/1.1\r\nHost: {host}\r\n", self.method, self.target);
         let _ = write!(head, "Request-Id: {}\r\nRequest-Timeout: {}u\r\n", self.id, left.as_micros());
         for (name, value) in &self.headers {
             let _ = write!(head, "{name}: {value}\r\n");
         }
-        let _ = write!(head, "Content-Length: {}\r\n\r\n", self.body.len());
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(&self.body);
-        bytes
+        let _ = match length {
+            Some(length) => write!(head, "Content-Length: {length}\r\n\r\n"),
+            None => write!(head, "Transfer-Encoding: chunked\r\n\r\n"),
+        };
+        head.into_bytes()
     }
 }
 
@@ -102,6 +107,8 @@
         /// The share done, from 0 to 1.
         share: f64,
     },
+    /// An execution: a part of the body that is not kept is being passed on.
+    PassedOn,
     /// An execution: it has ended.
     Ended {
         /// The execution's number.
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -19,7 +19,7 @@
 //! use sorrelhaven_engine::Engine;
 //!
 //! let config = Config::load(|name| std::env::var(name).ok())?;
-//! let engine = Engine::new(&config);
+//! let engine = Engine::new(&config, None);
 //! let (_moves, moved) = async_channel::unbounded();
 //! engine.start(config.discovery, config.known.seq, moved);
 //! async_io::block_on(engine.tasks.run());
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -93,10 +93,19 @@
 impl Life {
     async fn run(mut self, job: Job, inbox: Receiver<Mail>) {
         let request = self.id;
-        let Job { class, due, hint, width, resent, key, parcel } = job;
+        let Job { class, due, hint, width, resent, key, sendable, parcel } = job;
         let parcel = Rc::new(parcel);
         let mut attempts = 0;
-        self.requests.desk.tell(Event::Arrival(Arrival { request, class, due, hint, width, resent, key }));
+        self.requests.desk.tell(Event::Arrival(Arrival {
+            request,
+            class,
+            due,
+            hint,
+            width,
+            resent,
+            key,
+            sendable,
+        }));
         // A request is over when it has its answer and every execution its outcome.
         while !(self.answered && self.executions.is_empty()) {
             let Ok(mail) = inbox.recv().await else { break };
@@ -119,6 +128,7 @@
                         self.requests.desk.tell(Event::Progress { request, attempt, worker, share });
                     }
                 }
+                Mail::PassedOn => self.requests.desk.tell(Event::PassedOn(request)),
                 Mail::Ended { attempt, ending } => self.ended(attempt, ending),
                 Mail::Left => {
                     if !std::mem::replace(&mut self.answered, true) {
--- a/engine/src/tasks.rs
+++ b/engine/src/tasks.rs
@@ -1,6 +1,7 @@
 //! The one executor, of one thread: urgent tasks go ahead of all others.
 
 use async_executor::{LocalExecutor, Task};
+use event_listener::Event;
 use futures_lite::future::{or, yield_now};
 
 /// Ticks of the executor before the sockets are looked at again.
@@ -11,6 +12,7 @@
 pub struct Tasks {
     urgent: LocalExecutor<'static>,
     ordinary: LocalExecutor<'static>,
+    turns: Event,
 }
 
 impl Tasks {
@@ -29,15 +31,27 @@
         self.urgent.spawn(task).detach();
     }
 
+    /// Waits until nothing else has anything to do, or for long enough: between the pieces of large bodies, so that
+    /// however many there are, a small job waits for one piece at most.
+    pub async fn turn(&self) {
+        self.turns.listen().await;
+    }
+
     /// Runs all tasks, for ever.
     pub async fn run(&self) -> std::convert::Infallible {
         loop {
             for _ in 0..TICKS {
                 while self.urgent.try_tick() {}
-                if !self.ordinary.try_tick() {
-                    or(self.urgent.tick(), self.ordinary.tick()).await;
+                if self.ordinary.try_tick() {
+                    continue;
+                }
+                if self.turns.notify_additional(1) > 0 {
+                    break;
                 }
+                or(self.urgent.tick(), self.ordinary.tick()).await;
             }
+            // However much there is to do, large bodies go on, if slowly.
+            self.turns.notify_additional(1);
             yield_now().await;
         }
     }
--- a/engine/src/tests/request.rs
+++ b/engine/src/tests/request.rs
@@ -4,7 +4,7 @@
 use super::server_link::{Conduct, conduct, model, play};
 use super::shared;
 use crate::ending::Ending;
-use crate::job::{Answer, Job, Parcel};
+use crate::job::{Answer, Job};
 use proptest::prelude::*;
 use sorrelhaven_standins::check;
 use std::net::TcpListener;
@@ -37,15 +37,18 @@
         let engine = shared::engine(address);
         let at = engine.clone();
         engine.tasks.spawn_urgent(async move { at.desk.run_timers().await });
-        let parcel = Parcel {
-            id: "r1".into(),
-            method: "POST".into(),
-            target: "/api".into(),
-            headers: Vec::new(),
-            body: b"body".to_vec(),
-        };
+        let parcel = shared::parcel(&engine, "/api", b"body");
         let due = engine.desk.clock.now() + 400_000;
-        let job = Job { class: 0, due, hint: Some(50_000), width: 1.0, resent: false, key: 0, parcel };
+        let job = Job {
+            class: 0,
+            due,
+            hint: Some(50_000),
+            width: 1.0,
+            resent: false,
+            key: 0,
+            sendable: true,
+            parcel,
+        };
         let ticket = engine.take(job).expect("no other has its id");
         let answer = shared::run(&engine, ticket.answer());
         let late = engine.desk.clock.now() - due;
--- a/engine/src/tests/server_link.rs
+++ b/engine/src/tests/server_link.rs
@@ -1,10 +1,12 @@
 //! The server link as a model: what an executor does, and how the execution must end.
 
 use super::shared;
+use crate::Engine;
 use crate::ending::Ending;
 use crate::execution::{self, Order};
 use crate::job::{Mail, Parcel};
 use proptest::prelude::*;
+use sorrelhaven_config::Bodies;
 use sorrelhaven_standins::check;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -138,9 +140,8 @@
     Ok(true)
 }
 
-fn parcel() -> Rc<Parcel> {
-    let (id, method, target) = ("r1".into(), "POST".to_string(), "/api?x=1".to_string());
-    Rc::new(Parcel { id, method, target, headers: Vec::new(), body: b"body".to_vec() })
+fn parcel(engine: &Rc<Engine>) -> Rc<Parcel> {
+    Rc::new(shared::parcel(engine, "/api?x=1", b"body"))
 }
 
 /// Runs one execution against `address` and gives how it ended, and how many links stand idle after.
@@ -149,7 +150,7 @@
     let (mail, inbox) = async_channel::unbounded();
     let (worker, deadline) = (WorkerId(0), Instant::now() + wait);
     let order = Order { attempt: 0, worker, deadline };
-    shared::run(&engine, execution::run(engine.ways.clone(), parcel(), order, mail));
+    shared::run(&engine, execution::run(engine.ways.clone(), parcel(&engine), order, mail));
     let endings: Vec<Ending> = std::iter::from_fn(|| inbox.try_recv().ok())
         .filter_map(|m| if let Mail::Ended { ending, .. } = m { Some(ending) } else { None })
         .collect();
@@ -202,7 +203,7 @@
     let held: Vec<_> = std::iter::from_fn(|| engine.ways.links.permit()).collect();
     let order = Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_secs(9) };
     let (mail, inbox) = async_channel::unbounded();
-    shared::run(&engine, execution::run(engine.ways.clone(), parcel(), order, mail));
+    shared::run(&engine, execution::run(engine.ways.clone(), parcel(&engine), order, mail));
     let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
     assert_eq!(ending, Ending::NoDescriptor, "with {} held", held.len());
 }
@@ -227,7 +228,7 @@
         let link = engine.ways.links.open(address).await.expect("a link");
         engine.ways.links.put(WorkerId(0), link);
         async_io::Timer::after(Duration::from_millis(200)).await;
-        execution::run(engine.ways.clone(), parcel(), order, mail).await;
+        execution::run(engine.ways.clone(), parcel(&engine), order, mail).await;
     });
     executor.join().expect("the executor ends");
     let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
@@ -244,9 +245,11 @@
     let address = listener.local_addr().expect("its address");
     let engine = shared::engine(address);
     let (mail, inbox) = async_channel::unbounded();
-    let mut parcel = Rc::into_inner(parcel()).expect("no one else has it");
     // More than the buffers of both sockets take.
-    parcel.body = vec![b'x'; 64 << 20];
+    let mut settings = Bodies { largest_bytes: 64 << 20, ..Bodies::default() };
+    (settings.memory.each_bytes, settings.memory.total_bytes) = (64 << 20, 128 << 20);
+    engine.bodies.configure(&settings, None);
+    let parcel = shared::parcel(&engine, "/api", &vec![b'x'; 64 << 20]);
     let order =
         Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_millis(200) };
     shared::run(&engine, execution::run(engine.ways.clone(), Rc::new(parcel), order, mail));
--- a/engine/src/tests/shared.rs
+++ b/engine/src/tests/shared.rs
@@ -1,7 +1,8 @@
 //! What the tests of the engine share: one in this thread.
 
-use crate::Engine;
+use crate::{Engine, Parcel};
 use futures_lite::future::or;
+use sorrelhaven_bodies::End;
 use sorrelhaven_config::Config;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,10 +10,23 @@
 /// An engine that knows one executor, `s-1` at `dial`.
 pub fn engine(dial: SocketAddr) -> Rc<Engine> {
     let text = sorrelhaven_standins::one_box(dial, "at_most_once");
-    Engine::new(&Config::parse(&text, |_| None).expect("a configuration"))
+    Engine::new(&Config::parse(&text, |_| None).expect("a configuration"), None)
 }
 
 /// Runs the engine's tasks until `work` is done.
 pub fn run<T>(engine: &Rc<Engine>, work: impl Future<Output = T>) -> T {
     async_io::block_on(or(work, async { match engine.tasks.run().await {} }))
 }
+
+/// A parcel `r1` with this body, kept in memory.
+pub fn parcel(engine: &Rc<Engine>, target: &str, bytes: &[u8]) -> Parcel {
+    let mut writer = engine.bodies.begin(0, Some(bytes.len() as u64)).ok().expect("a body that is taken");
+    let body = writer.spool();
+    let kept = async {
+        writer.push(bytes).await?;
+        Ok::<End, End>(writer.finish().await)
+    };
+    futures_lite::future::block_on(kept).expect("it is kept");
+    let (id, method) = ("r1".into(), "POST".to_string());
+    Parcel { id, method, target: target.to_string(), headers: Vec::new(), body }
+}
--- a/engine/src/ways.rs
+++ b/engine/src/ways.rs
@@ -4,6 +4,7 @@
 use crate::ending::Ending;
 use crate::host_group::HostGroup;
 use crate::links::{Links, ServerLink};
+use crate::tasks::Tasks;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +16,8 @@
     pub host_group: HostGroup,
     /// The server links.
     pub links: Links,
+    /// Where large bodies wait for their turn.
+    pub tasks: Rc<Tasks>,
     /// The counters.
     pub counters: Rc<Counters>,
     /// A connection not made within this time has failed.
--- /dev/null
+++ b/front/http1/src/intake.rs
@@ -0,0 +1,108 @@
+//! A request's body from the client link into the spool.
+
+use crate::front::Front;
+use crate::response::Response;
+use sorrelhaven_bodies::{BLOCK, End, Step, Writer};
+use sorrelhaven_wire::{Body, Fault, Link, by};
+use std::time::{Duration, Instant};
+
+/// A request must be whole so long after its first byte, the first one on a link so long after the accept; a long body
+/// has the time that its length takes at the slowest pace. Guards against links that say nothing, or half of
+/// something: they are owed a close within 3 s.
+pub const WHOLE: Duration = Duration::from_millis(2_200);
+
+/// So much of a body that is not kept must have come before a box is chosen for it, in bytes. Guards against clients
+/// that say much and send little: each would hold a box that waits for it.
+const FRONT: u64 = BLOCK as u64 / 2;
+
+/// A body on its way in.
+pub struct Intake {
+    /// How far the body has been read.
+    pub body: Body,
+    /// Where it goes.
+    pub writer: Writer,
+    /// When its first byte could come.
+    pub first: Instant,
+    /// When its client gives up.
+    pub due: Instant,
+}
+
+/// How far an intake has come.
+pub enum Came {
+    /// The body is whole.
+    Whole,
+    /// What comes from here on is not kept: it is to be passed on as it comes.
+    Unkept(Intake),
+    /// It has ended in some other way.
+    Ended(End),
+}
+
+impl Intake {
+    /// Takes the body in until it is whole, or until it is not kept any more.
+    pub async fn keep(self, front: &Front, link: &mut Link) -> Came {
+        self.run(front, link, true).await
+    }
+
+    /// Takes in the rest of a body that is not kept, as fast as it is passed on.
+    pub async fn pass(self, front: &Front, link: &mut Link) -> End {
+        match self.run(front, link, false).await {
+            Came::Whole => End::Streamed,
+            Came::Ended(end) => end,
+            Came::Unkept(intake) => intake.writer.end(End::Refused),
+        }
+    }
+
+    async fn run(mut self, front: &Front, link: &mut Link, kept: bool) -> Came {
+        let mut piece = Vec::new();
+        loop {
+            if kept && self.writer.came() >= FRONT && self.writer.spool().step() == Step::Unkept {
+                return Came::Unkept(self);
+            }
+            piece.clear();
+            let slowest = front.engine.bodies.in_time(self.first, WHOLE, self.writer.came());
+            let more = match by(slowest.min(self.due), link.more(&mut self.body, &mut piece)).await {
+                None => return Came::Ended(self.writer.end(End::TooSlow)),
+                Some(Err(Fault::BodyTooLarge)) => return Came::Ended(self.writer.end(End::TooLong)),
+                Some(Err(_)) => return Came::Ended(self.writer.end(End::ClientBroke)),
+                Some(Ok(more)) => more,
+            };
+            if !more {
+                link.settle();
+                self.writer.finish().await;
+                return Came::Whole;
+            }
+            for part in piece.chunks(BLOCK) {
+                let before = Instant::now();
+                if let Err(end) = self.writer.push(part).await {
+                    return Came::Ended(end);
+                }
+                // What the node itself made it wait is not the client's slowness.
+                self.first += before.elapsed();
+            }
+            if self.writer.came() >= BLOCK as u64 {
+                front.engine.tasks.turn().await;
+            }
+        }
+    }
+}
+
+/// What a client is told by the protocol alone whose body has ended so; `None`: nothing, its link is closed. What the
+/// node could not keep is no matter of the protocol: that goes to the module, which refuses it.
+pub fn answer(end: End) -> Option<Response> {
+    match end {
+        End::TooLong => Some(Response::fault(413, "the body is too large")),
+        End::TooSlow => Some(Response::fault(408, "the request came too slowly")),
+        End::ClientBroke | End::Refused | End::NeverBegun => None,
+        End::InMemory | End::InFile | End::Streamed => None,
+        End::DiskFull | End::DiskFailed | End::DiskSlow | End::BudgetGone => None,
+    }
+}
+
+/// Whether the body could not be kept and such are refused.
+pub fn refused(end: End) -> bool {
+    match end {
+        End::DiskFull | End::DiskFailed | End::DiskSlow | End::BudgetGone => true,
+        End::InMemory | End::InFile | End::Streamed => false,
+        End::ClientBroke | End::TooLong | End::TooSlow | End::Refused | End::NeverBegun => false,
+    }
+}
--- a/front/http1/src/lib.rs
+++ b/front/http1/src/lib.rs
@@ -9,7 +9,7 @@
 //! use sorrelhaven_front_http1::{Front, accept, listen};
 //!
 //! let config = Config::load(|name| std::env::var(name).ok())?;
-//! let engine = Engine::new(&config);
+//! let engine = Engine::new(&config, None);
 //! let front = Front::new(engine.clone(), &config);
 //! let listener = listen(config.listen)?;
 //! engine.tasks.spawn(accept(front, listener, std::future::pending()));
@@ -19,6 +19,7 @@
 
 mod accept;
 mod front;
+mod intake;
 mod link;
 mod read;
 mod response;
--- a/front/http1/src/link.rs
+++ b/front/http1/src/link.rs
@@ -1,17 +1,18 @@
 //! One client link, from its accept to its end.
 
 use crate::front::Front;
-use crate::read::{Read, read};
+use crate::intake::{self, Came, Intake, WHOLE};
+use crate::read::{Draft, Read, read};
 use crate::response::Response;
 use event_listener::EventListener;
 use futures_lite::future::{or, yield_now};
-use sorrelhaven_wire::{Fault, Link, by};
+use sorrelhaven_bodies::{End, Spool};
+use sorrelhaven_wire::{BODY_MOST, Body, Fault, Link, by};
 use std::time::{Duration, Instant};
 use tracing::debug;
 
-/// A request must be whole so long after its first byte, the first one on a link so long after the accept.
-/// Guards against links that say nothing, or half of something: they are owed a close within 3 s.
-const WHOLE: Duration = Duration::from_millis(2_200);
+/// What a client that asks whether to send its body is told.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// A client must have taken its answer by then.
 const SLOW_READER: Duration = Duration::from_secs(10);
 /// A client link that has carried a request may stand idle for so long until the next.
@@ -22,40 +23,36 @@
 /// One client link: requests one after the other, until either side ends it. Until it has carried a job it
 /// must hurry, and gives way to others.
 pub async fn client_link(front: &Front, link: &mut Link) {
-    let hurry = Instant::now() + WHOLE;
+    let accepted = Instant::now();
     let mut silent = Some(front.close_silent.listen());
-    while arrives(front, link, hurry, &mut silent).await {
-        let whole_by = if silent.is_some() { hurry } else { Instant::now() + WHOLE };
-        let read = or(by(whole_by, read(front, link)), async {
+    while arrives(front, link, accepted + WHOLE, &mut silent).await {
+        let first = if silent.is_some() { accepted } else { Instant::now() };
+        let read = or(by(first + WHOLE, read(front, link)), async {
             unwanted(&mut silent).await;
             Some(Err(Fault::Closed))
         });
-        let (mut response, keeps_alive) = match read.await {
-            None => (Response::fault(408, "the request came too slowly"), false),
-            Some(Err(Fault::Closed | Fault::Broken)) => return,
-            Some(Err(Fault::Malformed)) => (Response::fault(400, "not HTTP"), false),
-            Some(Err(Fault::HeadTooLarge)) => (Response::fault(431, "the head is too large"), false),
-            Some(Err(Fault::BodyTooLarge)) => (Response::fault(413, "the body is too large"), false),
-            Some(Ok(Read { parsed: Err(response), keeps_alive })) => (response, keeps_alive),
-            Some(Ok(Read { parsed: Ok(job), keeps_alive })) => match front.engine.take(job) {
-                None => (Response::new(409), keeps_alive),
-                Some(ticket) => {
-                    silent = None;
-                    let answer = or(async { Some(ticket.answer().await) }, async {
-                        link.ended().await;
-                        None
-                    });
-                    match answer.await {
-                        Some(Some(answer)) => (answer.into(), keeps_alive),
-                        Some(None) => (Response::new(500), false),
-                        None => {
-                            ticket.leave();
-                            return;
-                        }
-                    }
+        let answered = match read.await {
+            None => Some((Response::fault(408, "the request came too slowly"), false)),
+            Some(Err(fault)) => unread(fault).map(|response| (response, false)),
+            Some(Ok(Read { asked: Err(response), body, expects, keeps_alive })) => {
+                let dropped = or(by(first + WHOLE, drop_body(link, body, expects)), async {
+                    unwanted(&mut silent).await;
+                    Some(Err(Fault::Closed))
+                });
+                match dropped.await {
+                    None => Some((Response::fault(408, "the request came too slowly"), false)),
+                    Some(Err(fault)) => unread(fault).map(|response| (response, false)),
+                    Some(Ok(())) => Some((response, keeps_alive)),
                 }
-            },
+            }
+            Some(Ok(Read { asked: Ok(draft), body, expects, keeps_alive })) => {
+                let job = Coming { draft, body, expects, first };
+                carry(front, link, job, &mut silent)
+                    .await
+                    .map(|(response, whole)| (response, keeps_alive && whole))
+            }
         };
+        let Some((mut response, keeps_alive)) = answered else { return };
         if response.status / 100 == 4 {
             front.counters.malformed.add();
             debug!(response.status, body = %String::from_utf8_lossy(&response.body), "not taken");
@@ -75,6 +72,116 @@
     }
 }
 
+/// The answer to what could not be read; `None` where no one is there to hear it.
+fn unread(fault: Fault) -> Option<Response> {
+    match fault {
+        Fault::Closed | Fault::Broken => None,
+        Fault::Malformed => Some(Response::fault(400, "not HTTP")),
+        Fault::HeadTooLarge => Some(Response::fault(431, "the head is too large")),
+        Fault::BodyTooLarge => Some(Response::fault(413, "the body is too large")),
+    }
+}
+
+/// Reads past the body of what is no job.
+async fn drop_body(link: &mut Link, body: Body, expects: bool) -> Result<(), Fault> {
+    if matches!(body, Body::Length(n) if n > BODY_MOST) {
+        return Err(Fault::BodyTooLarge);
+    }
+    if expects {
+        link.write(CONTINUE).await?;
+    }
+    link.whole(body).await.map(drop)
+}
+
+/// A job whose body is to come.
+struct Coming {
+    draft: Draft,
+    body: Body,
+    expects: bool,
+    first: Instant,
+}
+
+/// Takes a job's body in, hands the job to the engine and waits for its answer. With the answer comes whether the
+/// request has been read whole; `None` where the client has gone. A body that is not kept is passed on as it comes, so
+/// its server is chosen before it is whole.
+async fn carry(
+    front: &Front,
+    link: &mut Link,
+    Coming { draft, body, expects, first }: Coming,
+    silent: &mut Option<EventListener>,
+) -> Option<(Response, bool)> {
+    let bodies = &front.engine.bodies;
+    let declared = match body {
+        Body::Length(length) => Some(length as u64),
+        _ => None,
+    };
+    let due = front.engine.desk.clock.instant(draft.due());
+    let writer = match bodies.begin(draft.party(front), declared) {
+        Ok(writer) => writer,
+        Err((end, body)) => return not_whole(front, draft, body, end, silent).await,
+    };
+    let spool = writer.spool();
+    if expects && link.write(CONTINUE).await.is_err() {
+        return None;
+    }
+    let intake = Intake { body, writer, first, due };
+    let came = or(intake.keep(front, link), async {
+        unwanted(silent).await;
+        Came::Ended(End::ClientBroke)
+    });
+    let intake = match came.await {
+        Came::Whole => None,
+        Came::Unkept(intake) => Some(intake),
+        Came::Ended(end) => return not_whole(front, draft, spool, end, silent).await,
+    };
+    let Some(ticket) = front.engine.take(draft.job(spool.clone(), true)) else {
+        return Some((Response::new(409), intake.is_none()));
+    };
+    *silent = None;
+    let rest = async {
+        if let Some(intake) = intake {
+            let end = intake.pass(front, link).await;
+            if !end.is_whole() {
+                return end;
+            }
+        }
+        link.ended().await;
+        End::ClientBroke
+    };
+    match or(async { Ok(ticket.answer().await) }, async { Err(rest.await) }).await {
+        // An answer may come before the whole body has: what is left of it can't be told from a next request.
+        Ok(answer) => {
+            let whole = spool.end().is_some_and(End::is_whole);
+            Some((answer.map_or(Response::new(500), Response::from), whole))
+        }
+        Err(end) => {
+            ticket.leave();
+            intake::answer(end).map(|response| (response, false))
+        }
+    }
+}
+
+/// The answer to a job whose body did not come whole. One that could not be kept goes to the module, which refuses it.
+async fn not_whole(
+    front: &Front,
+    draft: Draft,
+    body: Spool,
+    end: End,
+    silent: &mut Option<EventListener>,
+) -> Option<(Response, bool)> {
+    if !intake::refused(end) {
+        return intake::answer(end).map(|response| (response, false));
+    }
+    let response = match front.engine.take(draft.job(body, false)) {
+        None => Response::new(409),
+        Some(ticket) => {
+            *silent = None;
+            ticket.answer().await.map_or(Response::new(500), Response::from)
+        }
+    };
+    Some((response, false))
+}
+
 /// Waits until a link that has carried no job is to give way; for ever for one that has.
 async fn unwanted(silent: &mut Option<EventListener>) {
     match silent {
--- a/front/http1/src/read.rs
+++ b/front/http1/src/read.rs
@@ -2,8 +2,10 @@
 
 use crate::front::Front;
 use crate::response::Response;
+use sorrelhaven_bodies::Spool;
 use sorrelhaven_engine::{Job, Parcel};
-use sorrelhaven_wire::{BODY_MOST, Body, Fault, Head, Link, Start};
+use sorrelhaven_wire::{Body, Fault, Head, Link, Start};
+use std::rc::Rc;
 use stepusher::Micros;
 
 /// The answer must reach the client before it gives up: the way there and back comes off its time.
@@ -11,35 +13,64 @@
 /// The longest time that a client can ask the node to wait.
 const LONGEST: f64 = 3_600e6;
 
-/// What was read: a job, or the answer to what is none.
+/// A request by its head.
 pub struct Read {
-    /// The job, or the answer that needs none.
-    pub parsed: Result<Job, Response>,
+    /// What it asks for, or the answer to what is no job.
+    pub asked: Result<Draft, Response>,
+    /// How its body is framed.
+    pub body: Body,
+    /// The client waits to be told to send the body.
+    pub expects: bool,
     /// Whether the client means to use the link again.
     pub keeps_alive: bool,
 }
 
-/// Reads one request.
+/// A job whose body is to come.
+pub struct Draft {
+    class: usize,
+    tenant: usize,
+    due: Micros,
+    hint: Option<Micros>,
+    width: f64,
+    resent: bool,
+    key: u64,
+    id: Rc<str>,
+    method: String,
+    target: String,
+    headers: Vec<(&'static str, String)>,
+}
+
+impl Draft {
+    /// Its class and state office, as one of the parties that share the budgets of bodies.
+    pub fn party(&self, front: &Front) -> usize {
+        self.class * front.tenants.len().max(1) + self.tenant
+    }
+
+    /// When its client gives up.
+    pub fn due(&self) -> Micros {
+        self.due
+    }
+
+    /// The job with its body, all of it or what has come so far.
+    pub fn job(self, body: Spool, sendable: bool) -> Job {
+        let Draft { class, due, hint, width, resent, key, id, method, target, headers, .. } = self;
+        let parcel = Parcel { id, method, target, headers, body };
+        Job { class, due, hint, width, resent, key, sendable, parcel }
+    }
+}
+
+/// Reads one request's head.
 pub async fn read(front: &Front, link: &mut Link) -> Result<Read, Fault> {
     let head = link.head(Head::request).await?;
     let came = front.engine.desk.clock.now();
-    let framing = head.body()?;
-    // A length that is too large is answered from the head: neither asked for nor read.
-    if matches!(framing, Body::Length(n) if n > BODY_MOST) {
-        return Err(Fault::BodyTooLarge);
-    }
-    if framing != Body::Length(0)
-        && head.get("Expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"))
-    {
-        link.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
-    }
-    let body = link.whole(framing).await?;
-    let keeps_alive = head.keeps_alive();
-    Ok(Read { parsed: parse(front, &head, body, came), keeps_alive })
+    let body = head.body()?;
+    let expects =
+        body != Body::Length(0) && head.get("Expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
+    Ok(Read { asked: parse(front, &head, came), body, expects, keeps_alive: head.keeps_alive() })
 }
 
 /// Reads a request by the protocol.
-fn parse(front: &Front, head: &Head, body: Vec<u8>, came: Micros) -> Result<Job, Response> {
+fn parse(front: &Front, head: &Head, came: Micros) -> Result<Draft, Response> {
     let Start::Request { method, target } = &head.start else {
         return Err(Response::fault(400, "not a request"));
     };
@@ -63,9 +94,11 @@
     let class_name = need("Request-Class")?;
     let class =
         front.classes.iter().position(|c| c.name == class_name).ok_or_else(|| bad("Request-Class"))?;
-    if !front.tenants.is_empty() && !front.tenants.iter().any(|t| Some(t.as_str()) == head.get("Tenant")) {
-        return Err(bad("Tenant"));
-    }
+    let tenant = front.tenants.iter().position(|t| Some(t.as_str()) == head.get("Tenant"));
+    let tenant = match tenant {
+        None if !front.tenants.is_empty() => return Err(bad("Tenant")),
+        tenant => tenant.unwrap_or(0),
+    };
     let wait = duration(need("Request-Timeout")?).ok_or_else(|| bad("Request-Timeout"))?;
     let hint = match head.get("Work-Hint") {
         Some(text) => Some(text.parse::<Micros>().map_err(|_| bad("Work-Hint"))?),
@@ -79,14 +112,18 @@
     for name in ["Idempotency-Key", "Content-Type"] {
         headers.extend(head.get(name).map(|value| (name, value.to_string())));
     }
-    Ok(Job {
+    Ok(Draft {
         class,
+        tenant,
         due: came.saturating_add((wait - CROSSING).max(0)),
         hint,
         width,
         resent: head.get("Client-Retry") == Some("1"),
         key: head.get("Affinity-Key").map_or(0, sorrelhaven_config::key),
-        parcel: Parcel { id, method: method.clone(), target: target.clone(), headers, body },
+        id,
+        method: method.clone(),
+        target: target.clone(),
+        headers,
     })
 }
 
--- a/front/http1/tests/client_link.rs
+++ b/front/http1/tests/client_link.rs
@@ -74,7 +74,7 @@
         }
         let config = one_box("127.0.0.1:1".parse().expect("an address"), "at_most_once");
         let config = Config::parse(&config, |_| None).expect("a configuration");
-        let engine = Engine::new(&config);
+        let engine = Engine::new(&config, None);
         let front = Front::new(engine.clone(), &config);
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -10,12 +10,14 @@
 use cli::{Cli, Command, Common, LogFormat};
 use futures_lite::StreamExt;
 use futures_lite::future::or;
+use sorrelhaven_bodies::{Directory, Disk};
 use sorrelhaven_config::{Config, Operator};
 use sorrelhaven_engine::Engine;
 use sorrelhaven_front_http1::{self as front, Front};
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tracing::{info, warn};
 use tracing_subscriber::EnvFilter;
@@ -26,6 +28,8 @@
 /// How often a closing node looks whether all is answered.
 const CLOSING_LOOK: Duration = Duration::from_millis(20);
 
+/// The key of the directory, which is tried when it is opened.
+const DIRECTORY: &str = "bodies.files.directory";
 /// The exit status where a file is at fault, as where the command line is.
 const AT_FAULT: u8 = 2;
 
@@ -38,10 +42,16 @@
             ExitCode::SUCCESS
         }
         Command::Check { .. } => match Config::load(env) {
-            Ok(config) => {
-                println!("{}", check::summary(&config));
-                ExitCode::SUCCESS
-            }
+            Ok(config) => match directory(&config) {
+                Ok(_) => {
+                    println!("{}", check::summary(&config));
+                    ExitCode::SUCCESS
+                }
+                Err(fault) => {
+                    println!("{fault}");
+                    ExitCode::from(AT_FAULT)
+                }
+            },
             Err(faults) => {
                 faults.iter().for_each(|fault| println!("{fault}"));
                 ExitCode::from(AT_FAULT)
@@ -89,10 +99,11 @@
     env: impl Fn(&str) -> Option<String> + 'static,
     format: LogFormat,
 ) -> Result<(), String> {
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup, Signal::Xfsz])
         .map_err(|e| format!("signals: {e}"))?;
     let (listen, discovery, seq) = (config.listen, config.discovery, config.known.seq);
-    let engine = Engine::new(&config);
+    let disk = disk(&config)?;
+    let engine = Engine::new(&config, disk);
     let front = Front::new(engine.clone(), &config);
     let listener = front::listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
     let listen = listener.get_ref().local_addr().unwrap_or(listen);
@@ -111,6 +122,23 @@
     Ok(())
 }
 
+/// The directory that the operators set for bodies.
+fn directory(config: &Config) -> Result<Option<Directory>, String> {
+    let Some(path) = &config.operator.bodies.files.directory else { return Ok(None) };
+    Directory::open(path, &config.name).map(Some).map_err(|e| format!("{DIRECTORY}: {}", e.0))
+}
+
+/// That directory as the disk for bodies. One that is full is used as soon as there is room.
+fn disk(config: &Config) -> Result<Option<Arc<dyn Disk>>, String> {
+    let Some(directory) = directory(config)? else { return Ok(None) };
+    let swept = directory.sweep().map_err(|e| format!("{DIRECTORY}: it can't be listed: {e}"))?;
+    info!(swept, "bodies may be kept in files");
+    if directory.is_full() {
+        warn!("{DIRECTORY}: it is full; files are used once there is room");
+    }
+    Ok(Some(Arc::new(directory)))
+}
+
 /// The engine with its front.
 struct Node {
     engine: Rc<Engine>,
@@ -121,7 +149,9 @@
 impl Node {
     /// Prints the counters, on one line.
     fn count(&self) {
-        let figures = self.engine.counters.figures().into_iter().chain(self.front.counters.figures());
+        let Node { engine, front, .. } = self;
+        let figures = engine.counters.figures().into_iter().chain(front.counters.figures());
+        let figures = figures.chain(engine.bodies.figures());
         match self.format {
             LogFormat::Text => {
                 let figures: Vec<String> = figures.map(|(name, count)| format!("{name}={count}")).collect();
@@ -148,6 +178,8 @@
             match signal {
                 Ok(Signal::Usr1) => self.count(),
                 Ok(Signal::Hup) => self.reload(&mut config, &env, &moves),
+                // A bound on the size of files: the write that met it says so, and the program must not end for it.
+                Ok(Signal::Xfsz) => {}
                 Ok(_) => {
                     // A second one finds the first in force.
                     let _ = stop.try_send(());
@@ -163,6 +195,14 @@
             Ok(read) => read,
             Err(error) => return warn!(%error, "the configuration stays as it was"),
         };
+        let (old, new) = (&config.operator.bodies, &next.operator.bodies);
+        if old != new {
+            // Also the directory is taken over as a whole or not at all.
+            match disk(&next) {
+                Ok(disk) => self.engine.bodies.configure(new, disk),
+                Err(error) => return warn!(error, "the configuration stays as it was"),
+            }
+        }
         self.engine.ways.links.descriptors.resize(next.sockets);
         if next.discovery != config.discovery {
             // The watch runs as long as the node.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -229,6 +229,8 @@
     pub resent: bool,
     /// A number drawn from what it is about, the same at every dispatcher; 0 where that is not told.
     pub key: u64,
+    /// Its body can be sent: false where it could not be kept and such are refused.
+    pub sendable: bool,
 }
 
 /// What happens to a dispatcher.
@@ -284,6 +286,8 @@
         /// The worker.
         worker: WorkerId,
     },
+    /// A part of its body that is not kept was passed on to a worker: no further attempt is possible.
+    PassedOn(RequestId),
     /// The client has left; nothing more is owed.
     Lapsed(RequestId),
     /// A probe ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 //!     width: 1.0,
 //!     resent: false,
 //!     key: 0,
+//!     sendable: true,
 //! };
 //! dispatcher.handle(1_000, Event::Arrival(arrival), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { worker: WorkerId(0), .. })));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -131,6 +131,7 @@
     out: Option<(WorkerId, u32)>,
     started: bool,
     streaming: bool,
+    spent: bool,
     cancelled: bool,
     ran: Option<(WorkerId, Micros)>,
     tried: Vec<WorkerId>,
@@ -207,6 +208,9 @@
                 self.on_report(worker, &report);
                 self.on_outcome(now, (request, attempt, worker), outcome, took, closed, actions);
             }
+            Event::PassedOn(request) => {
+                self.requests.get_mut(&request).into_iter().for_each(|r| r.spent = true)
+            }
             Event::Lapsed(request) => self.forget(request, actions),
             Event::Probed { worker, report, .. } => self.on_report(worker, &report),
             Event::Timer(WATCH) => actions.push(Action::Watch),
@@ -567,6 +571,7 @@
             due: a.due,
             aim,
             wanted,
+            spent: !a.sendable,
             ..Request::default()
         };
         self.requests.insert(a.request, request);
@@ -757,7 +762,8 @@
         let Some(r) = self.requests.get(&id) else { return };
         let harmless = r.out.is_none() && r.ran.is_none();
         let refuse = match self.settings.classes[r.class].effect {
-            Effect::Safe | Effect::Keyed { scope: Scope::All, .. } => true,
+            // What can't be sent again is refused only where it never ran, so that a failure is told as one.
+            Effect::Safe | Effect::Keyed { scope: Scope::All, .. } if !r.spent => true,
             _ => harmless,
         };
         if refuse {
@@ -790,6 +796,7 @@
     /// Whether the request may have a further attempt at all.
     fn may_try_again(&self, r: &Request, now: Micros) -> bool {
         r.attempts < self.settings.limits.max_attempts.max(1)
+            && !r.spent
             && match (self.settings.classes[r.class].effect, r.ran) {
                 (Effect::Unsafe, Some(_)) => false,
                 (Effect::Keyed { window, .. }, Some((_, at))) => now - at < window,
--- /dev/null
+++ b/standins/src/boxes.rs
@@ -0,0 +1,228 @@
+//! Issuing boxes that follow a script, and log what they ran.
+
+use std::collections::VecDeque;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// What a box does with one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Runs it and gives its result, the length and checksum of the body.
+    Done,
+    /// Runs it for this many milliseconds, then as `Done`.
+    Takes(u64),
+    /// Runs it, and says that it failed.
+    Failed,
+    /// Answers 503 with `Not-Started: 1`, unrun.
+    Returned,
+    /// Runs it, and says that it was killed.
+    Lost,
+    /// Resets the connection in the middle of the body.
+    BreaksBefore,
+    /// Runs it, and resets the connection without a word.
+    BreaksAfter,
+    /// Runs it, and says nothing for as long as the other side waits.
+    Silent,
+}
+
+/// A request that a box had whole, and so ran unless it turned it away.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The request's id.
+    pub id: String,
+    /// The box's number.
+    pub at: usize,
+    /// The length of the body.
+    pub length: usize,
+    /// The checksum of the body, by [`sum`].
+    pub sum: u64,
+}
+
+#[derive(Default)]
+struct Shared {
+    script: VecDeque<Act>,
+    runs: Vec<Run>,
+    broken: usize,
+}
+
+/// Boxes that share one script and one log. They serve for as long as the process.
+#[derive(Clone)]
+pub struct Boxes {
+    shared: Arc<Mutex<Shared>>,
+    /// Where they listen.
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// A checksum of bytes: FNV-1a.
+pub fn sum(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, &b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+impl Boxes {
+    /// So many boxes on loopback.
+    pub fn new(count: usize) -> Boxes {
+        let listeners: Vec<TcpListener> =
+            (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        let addresses = listeners.iter().map(|l| l.local_addr().expect("its address")).collect();
+        let boxes = Boxes { shared: Arc::default(), addresses };
+        for (at, listener) in listeners.into_iter().enumerate() {
+            let boxes = boxes.clone();
+            thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let boxes = boxes.clone();
+                    thread::spawn(move || boxes.serve(stream, at));
+                }
+            });
+        }
+        boxes
+    }
+
+    fn shared(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What is done with the next requests, whichever box they come to; then [`Act::Done`].
+    pub fn script(&self, acts: &[Act]) {
+        self.shared().script = acts.iter().copied().collect();
+    }
+
+    /// What they ran so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared().runs.clone()
+    }
+
+    /// The runs of one request.
+    pub fn runs_of(&self, id: &str) -> Vec<Run> {
+        self.shared().runs.iter().filter(|r| r.id == id).cloned().collect()
+    }
+
+    /// Requests that ended before they were whole.
+    pub fn broken(&self) -> usize {
+        self.shared().broken
+    }
+
+    /// Serves one connection to its end.
+    fn serve(&self, stream: TcpStream, at: usize) {
+        let _ = stream.set_nodelay(true);
+        let Ok(reader) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(reader);
+        while let Some(head) = Head::read(&mut reader) {
+            // The script goes by the order in which requests come.
+            let act = self.shared().script.pop_front().unwrap_or(Act::Done);
+            if act == Act::BreaksBefore {
+                let _ = reader.read(&mut [0; 16]);
+                return reset(stream);
+            }
+            let Ok(body) = head.body(&mut reader) else {
+                self.shared().broken += 1;
+                return;
+            };
+            if act != Act::Returned {
+                let run = Run { id: head.id.clone(), at, length: body.len(), sum: sum(&body) };
+                self.shared().runs.push(run);
+            }
+            match act {
+                Act::BreaksAfter => return reset(stream),
+                Act::Silent => {
+                    while reader.read(&mut [0; 64]).is_ok_and(|n| n > 0) {}
+                    return;
+                }
+                _ => {}
+            }
+            if answer(&stream, &head.id, act, &body).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Ends a connection with a reset: what has come and is not read makes it one.
+fn reset(stream: TcpStream) {
+    let _ = stream.set_linger_zero();
+    drop(stream);
+}
+
+trait Linger {
+    fn set_linger_zero(&self) -> io::Result<()>;
+}
+
+impl Linger for TcpStream {
+    fn set_linger_zero(&self) -> io::Result<()> {
+        Ok(rustix::net::sockopt::set_socket_linger(self, Some(Duration::ZERO))?)
+    }
+}
+
+fn answer(mut stream: &TcpStream, id: &str, act: Act, body: &[u8]) -> io::Result<()> {
+    if act == Act::Returned {
+        return stream.write_all(b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    let mut say = |news: &str| {
+        let line = format!("{{\"id\":\"{id}\",\"from\":\"s\",{news}}}\n");
+        stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes())
+    };
+    say("\"state\":\"started\"")?;
+    match act {
+        Act::Failed => say("\"state\":\"failed\"")?,
+        Act::Lost => say("\"state\":\"lost\"")?,
+        act => {
+            if let Act::Takes(milliseconds) = act {
+                thread::sleep(Duration::from_millis(milliseconds));
+            }
+            say(&format!("\"state\":\"done\",\"result\":\"{} {:x}\"", body.len(), sum(body)))?;
+        }
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
+
+/// A request's head as far as a box needs it.
+struct Head {
+    id: String,
+    length: Option<usize>,
+}
+
+impl Head {
+    fn read(reader: &mut impl BufRead) -> Option<Head> {
+        let mut head = Head { id: String::new(), length: None };
+        let mut line = String::new();
+        let mut lines = 0;
+        loop {
+            line.clear();
+            if reader.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            lines += 1;
+            match line.trim_end().split_once(": ") {
+                Some(("Request-Id", id)) => head.id = id.to_string(),
+                Some(("Content-Length", length)) => head.length = length.parse().ok(),
+                None if line.trim_end().is_empty() && lines > 1 => return Some(head),
+                _ => {}
+            }
+        }
+    }
+
+    /// The whole body; an error where it is not whole.
+    fn body(&self, reader: &mut impl BufRead) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        if let Some(length) = self.length {
+            body.resize(length, 0);
+            reader.read_exact(&mut body)?;
+            return Ok(body);
+        }
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line)?;
+            let size = usize::from_str_radix(line.trim_end(), 16).map_err(io::Error::other)?;
+            let from = body.len();
+            body.resize(from + size, 0);
+            reader.read_exact(&mut body[from..])?;
+            reader.read_exact(&mut [0; 2])?;
+            if size == 0 {
+                return Ok(body);
+            }
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,8 +1,16 @@
 //! Scripted peers and checkers of the rules, shared by the tests of all packages. Nothing in the product
 //! imports this. All peers bind to loopback addresses only, on ports that the system chooses.
 
+mod boxes;
 mod cases;
+mod client;
+mod disk;
+mod program;
 mod settings;
 
+pub use boxes::{Act, Boxes, Run, sum};
 pub use cases::check;
-pub use settings::one_box;
+pub use client::{Ask, Reply};
+pub use disk::{Conduct, StandInDisk};
+pub use program::{Program, Scratch};
+pub use settings::{boxes_file, one_box};
--- /dev/null
+++ b/standins/src/program.rs
@@ -0,0 +1,116 @@
+//! The program itself, started as an operator starts it.
+
+use std::io::{BufRead, BufReader, Read};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// A directory of a test's own, gone when dropped.
+pub struct Scratch(pub PathBuf);
+
+impl Scratch {
+    /// A new one, whose name holds `name`.
+    pub fn new(name: &str) -> Scratch {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("sorrelhaven-{}-{number}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a directory");
+        Scratch(path.canonicalize().expect("it is there"))
+    }
+
+    /// A path in it.
+    pub fn at(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+
+    /// Writes a file in it, and gives its path.
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        std::fs::write(self.at(name), text).expect("a file");
+        self.at(name)
+    }
+
+    /// The names in a directory of it, sorted.
+    pub fn names(&self, directory: &str) -> Vec<String> {
+        let entries = std::fs::read_dir(self.at(directory)).expect("a directory");
+        let mut names: Vec<String> =
+            entries.map(|e| e.expect("an entry").file_name().to_string_lossy().into_owned()).collect();
+        names.sort();
+        names
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A program that serves; ended when dropped, whatever the test came to.
+pub struct Program {
+    /// The process.
+    pub child: Child,
+    log: BufReader<ChildStderr>,
+    /// Where it listens.
+    pub address: String,
+}
+
+impl Program {
+    /// Starts `command` with a platform's file, and an operators' if there is one, and waits until it is ready.
+    pub fn start(mut command: Command, config: &Path, operator: Option<&Path>) -> Program {
+        command.env_remove("RUST_LOG").env_remove("SORRELHAVEN_OPERATOR").env("RELAY_CONFIG", config);
+        for name in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        if let Some(operator) = operator {
+            command.env("SORRELHAVEN_OPERATOR", operator);
+        }
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+        let log = BufReader::new(child.stderr.take().expect("its log"));
+        let mut program = Program { child, log, address: String::new() };
+        let line = program.line("ready");
+        program.address = line.rsplit("listen=").next().expect("its address").trim().to_string();
+        program
+    }
+
+    /// The next line of the log that holds `word`.
+    pub fn line(&mut self, word: &str) -> String {
+        let mut line = String::new();
+        while self.log.read_line(&mut line).expect("its log") > 0 {
+            if line.contains(word) {
+                return line;
+            }
+            line.clear();
+        }
+        panic!("no line with {word:?}");
+    }
+
+    /// Sends it a signal by its short name.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &id]).status().expect("kill").success());
+    }
+
+    /// A figure of its counters now.
+    pub fn figure(&mut self, name: &str) -> u64 {
+        self.signal("USR1");
+        let line = self.line("taken=");
+        let found = line.split_whitespace().find_map(|f| f.strip_prefix(&format!("{name}=")));
+        found.and_then(|f| f.parse().ok()).unwrap_or_else(|| panic!("no {name} in {line}"))
+    }
+
+    /// Asks it to end, and gives what is left of its log; panics where it does not end cleanly.
+    pub fn end(mut self) -> String {
+        self.signal("TERM");
+        let mut rest = String::new();
+        self.log.read_to_string(&mut rest).expect("its log");
+        assert!(self.child.wait().expect("it ends").success(), "{rest}");
+        rest
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -84,8 +84,16 @@
     pub fn arrive(&mut self, now: Micros, class: usize, hint: Micros) -> (RequestId, Vec<Action>) {
         let request = RequestId(self.next);
         self.next += 1;
-        let arrival =
-            Arrival { request, class, due: now + 5 * S, hint: Some(hint), width: 1.0, resent: false, key: 0 };
+        let arrival = Arrival {
+            request,
+            class,
+            due: now + 5 * S,
+            hint: Some(hint),
+            width: 1.0,
+            resent: false,
+            key: 0,
+            sendable: true,
+        };
         (request, self.tell(now, Event::Arrival(arrival)))
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -62,7 +62,7 @@
     let request = RequestId(desk.next);
     desk.next += 1;
     let (due, hint) = (now + 5 * S, Some(100 * MS));
-    let arrival = Arrival { request, class: 0, due, hint, width: 1.0, resent: false, key };
+    let arrival = Arrival { request, class: 0, due, hint, width: 1.0, resent: false, key, sendable: true };
     sends(&desk.tell(now, Event::Arrival(arrival))).first().map(|s| s.1)
 }
 
@@ -313,7 +313,16 @@
     desk.serve(S, 100 * MS, |_| 1.0);
     let request = RequestId(90);
     let due = 3 * S + 300 * MS;
-    let hurried = Arrival { request, class: 0, due, hint: Some(100 * MS), width: 1.0, resent: false, key: 0 };
+    let hurried = Arrival {
+        request,
+        class: 0,
+        due,
+        hint: Some(100 * MS),
+        width: 1.0,
+        resent: false,
+        key: 0,
+        sendable: true,
+    };
     let repeat = Arrival { request: RequestId(91), resent: true, ..hurried.clone() };
     assert_eq!(sends(&desk.tell(3 * S, Event::Arrival(hurried))).len(), 1);
     assert!(sends(&desk.tell(3 * S, Event::Arrival(repeat))).is_empty(), "its wanted time is long past");
@@ -408,3 +417,45 @@
         assert_eq!(sends(&actions).first().map(|s| s.0), Some(young), "not {old:?} at {freed}");
     }
 }
+
+/// What an execution has passed on and no one keeps can't be sent again, whatever its class: a plain failure where it
+/// may have run, a refusal only where it never did.
+#[test]
+fn what_was_passed_on_has_no_further_attempt() {
+    for class in 0..5 {
+        for (outcome, never_ran) in [
+            (Outcome::ConnectFailed, true),
+            (Outcome::Full, true),
+            (Outcome::Moot, true),
+            (Outcome::Error, false),
+            (Outcome::Reset, false),
+            (Outcome::Timeout, false),
+            (Outcome::Cancelled, false),
+        ] {
+            let mut desk = Desk::new(settings(), 3);
+            let (request, actions) = desk.arrive(S, class, 50 * MS);
+            let worker = sends(&actions)[0].1;
+            assert_eq!(sends(&desk.tell(S + MS, Event::PassedOn(request))), []);
+            let actions = desk.end(S + 2 * MS, request, (worker, 0), outcome);
+            let answer = match never_ran {
+                true => Action::Refuse { request, retry_after: 2 * S },
+                false => Action::Fail { request },
+            };
+            assert_eq!(actions, [answer], "class {class}, {outcome:?}");
+        }
+    }
+}
+
+/// A body that could not be kept where such are refused: the module words the refusal, and nothing is sent.
+#[test]
+fn what_cannot_be_sent_is_refused_at_once() {
+    let mut desk = Desk::new(settings(), 3);
+    for class in 0..5 {
+        let request = RequestId(900 + class as u64);
+        let (due, hint) = (6 * S, Some(50 * MS));
+        let arrival =
+            Arrival { request, class, due, hint, width: 1.0, resent: false, key: 0, sendable: false };
+        let actions = desk.tell(S, Event::Arrival(arrival));
+        assert_eq!(actions, [Action::Refuse { request, retry_after: 2 * S }], "class {class}");
+    }
+}
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -189,6 +189,7 @@
                     width: 1.0,
                     resent: false,
                     key: 0,
+                    sendable: true,
                 }));
             }
             Step::End { pick, outcome } if !self.out.is_empty() => self.end(pick % self.out.len(), outcome),
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -6,11 +6,20 @@
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::yield_now;
+use std::cell::RefCell;
 use std::io::{self, Read};
 use std::net::TcpStream;
 
 /// The most a body may hold, by the protocol, in bytes.
 pub const BODY_MOST: usize = 64 * 1024;
+/// What is taken of a body at once, in bytes.
+const BODY_PIECE: usize = 64 * 1024;
+
+thread_local! {
+    /// What reads of bodies are made into: one for all links, for none reads while another does.
+    static SCRATCH: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
+
 /// The most that is still taken from a connection that is given up.
 const LINGER_MOST: usize = 4 * BODY_MOST;
 
@@ -47,6 +56,28 @@
         }
     }
 
+    /// Waits for more bytes of a body, and takes more of them at once.
+    async fn fill_body(&mut self) -> Result<(), Fault> {
+        loop {
+            match SCRATCH.with_borrow_mut(|scratch| self.read_into(scratch)) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.stream.readable().await.map_err(|_| Fault::Broken)?;
+                }
+                Err(_) => return Err(Fault::Broken),
+                Ok(0) => return Err(Fault::Closed),
+                Ok(_) => return Ok(()),
+            }
+        }
+    }
+
+    fn read_into(&mut self, scratch: &mut Vec<u8>) -> io::Result<usize> {
+        scratch.resize(BODY_PIECE, 0);
+        let n = self.stream.get_ref().read(scratch)?;
+        self.buffer.extend_from_slice(&scratch[..n]);
+        Ok(n)
+    }
+
     /// Takes what has come. Not in `fill`, where the piece would be part of every waiting task.
     fn read(&mut self) -> io::Result<usize> {
         let mut piece = [0; 8 * 1024];
@@ -114,7 +145,7 @@
             if *body == Body::Done {
                 return Ok(false);
             }
-            match self.fill().await {
+            match self.fill_body().await {
                 Err(Fault::Closed) if *body == Body::UntilClosed => *body = Body::Done,
                 filled => filled?,
             }
@@ -132,8 +163,12 @@
                 return Err(Fault::BodyTooLarge);
             }
         }
-        // One large message must not leave every link with a large buffer for good.
-        self.buffer.shrink_to(HEAD_MOST);
+        self.settle();
         Ok(out)
     }
+
+    /// A message is over: one that was large must not leave its link with a large buffer for good.
+    pub fn settle(&mut self) {
+        self.buffer.shrink_to(HEAD_MOST);
+    }
 }
