--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -23,7 +23,7 @@
 //! let (_moves, moved) = async_channel::unbounded();
 //! engine.start(config.discovery, config.known.seq, moved);
 //! async_io::block_on(engine.tasks.run());
-//! # Ok::<(), sorrelhaven_config::Error>(())
+//! # Ok::<(), sorrelhaven_config::Faults>(())
 //! ```
 
 mod clock;
