--- a/engine/src/tests/mod.rs
+++ b/engine/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the network code: connections as models, checked against random steps with a fixed seed.
 
+mod endings;
 mod request;
 mod server_link;
 mod shared;
--- a/node/tests/bodies.rs
+++ b/node/tests/bodies.rs
@@ -4,6 +4,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::process::Command;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -63,6 +64,12 @@
     }
 }
 
+/// These tests measure times: one goes on at once, so that none measures another's load.
+fn alone() -> MutexGuard<'static, ()> {
+    static ONE: Mutex<()> = Mutex::new(());
+    ONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn result(body: &[u8]) -> String {
     format!("{} {:x}", body.len(), sum(body))
 }
@@ -103,10 +110,11 @@
 /// Every cell of the operators' table, each with a node and boxes of its own.
 #[test]
 fn every_cell_of_the_table_is_what_the_page_says() {
+    let _alone = alone();
     let (top, rows) = table();
     assert_eq!(top, ENDINGS.map(|e| e.0.to_string()));
     assert_eq!(rows.len(), EFFECTS.len() * STEPS.len());
-    let mut cells = Vec::new();
+    let mut cells: Vec<Cell> = Vec::new();
     for (e, (effect, class)) in EFFECTS.into_iter().enumerate() {
         for (s, (step, length, end)) in STEPS.into_iter().enumerate() {
             let (name, row) = &rows[e * STEPS.len() + s];
@@ -116,19 +124,27 @@
             }
         }
     }
-    let work = std::sync::Mutex::new(cells.into_iter());
+    // A silent box is waited for up to the client's limit, and that is measured with nothing else going on.
+    let (silent, rest): (Vec<Cell>, Vec<Cell>) = cells.into_iter().partition(|c| c.4 == Act::Silent);
+    let work = Mutex::new(rest.into_iter());
+    let next = || work.lock().unwrap_or_else(PoisonError::into_inner).next();
     thread::scope(|scope| {
-        for _ in 0..6 {
+        for _ in 0..3 {
             scope.spawn(|| {
-                loop {
-                    let next = work.lock().expect("no cell fails here").next();
-                    let Some((name, class, length, end, act, cell)) = next else { return };
-                    let found = walk(class, length, end, act);
-                    assert_eq!(found, cell, "{name}");
+                while let Some(cell) = next() {
+                    check(cell);
                 }
             });
         }
     });
+    silent.into_iter().for_each(check);
+}
+
+/// A cell: its name, the class, the body's length, where it ends, what the box does, and what the page says.
+type Cell = (String, &'static str, usize, &'static str, Act, String);
+
+fn check((name, class, length, end, act, cell): Cell) {
+    assert_eq!(walk(class, length, end, act), cell, "{name}");
 }
 
 /// Has the first attempt end so, and says what came of it in the table's words.
@@ -147,7 +163,7 @@
     let body = text(length, 7);
     let mut ask = Ask::new("q-1", class, body.clone());
     if act == Act::Silent {
-        ask.patience = Duration::from_millis(900);
+        ask.patience = Duration::from_millis(700);
     }
     let reply = ask.send(&node.address).expect("an answer");
     let longest = if act == Act::Silent { ask.patience } else { Duration::from_millis(700) };
@@ -166,6 +182,7 @@
 /// A `licence-issue` of 8 MB in a file: its first box resets after the last byte; it is sent again byte for byte.
 #[test]
 fn a_long_body_is_sent_again_from_its_file() {
+    let _alone = alone();
     let site = Site::new("again", 2);
     site.operator([64 * KIB, 8 * MIB, 16 * MIB, 64 * MIB], 16 * MIB, "stream");
     let mut node = site.start();
@@ -187,9 +204,65 @@
     assert_eq!(site.scratch.names("spool"), [""; 0], "a file has no name");
 }
 
+/// A `fee-charge` whose body is not kept meets every ending that a box can bring about: one run at most, one answer,
+/// at once, and a refusal only where it never ran.
+#[test]
+fn a_payment_that_is_not_kept_has_one_run_and_one_plain_answer() {
+    let _alone = alone();
+    let cases = [
+        (Act::Done, "ok", 200),
+        (Act::Failed, "error", 502),
+        (Act::Garbage, "error", 502),
+        (Act::OtherId, "error", 502),
+        (Act::Huge, "error", 502),
+        (Act::Returned, "full", 503),
+        (Act::ReturnedEarly, "full", 503),
+        (Act::Unusable, "unusable", 502),
+        (Act::Lost, "reset", 502),
+        (Act::BreaksAfter, "reset", 502),
+        (Act::Cuts, "reset", 502),
+        (Act::BreaksBefore, "connect_failed", 503),
+        (Act::ReadsNothing, "connect_failed", 503),
+        (Act::Silent, "timeout", 502),
+    ];
+    // More than the system's buffers take, so that what breaks in the middle is known to.
+    let body = text(12 * MIB, 7);
+    for (act, outcome, status) in cases {
+        let site = Site::new("payment", 2);
+        site.operator([16 * KIB, 8 * MIB, 16 * KIB, 8 * MIB], 40 * MIB, "stream");
+        let mut node = site.start();
+        site.boxes.script(&[act]);
+        let mut ask = Ask::new("q-1", "fee-charge", body.clone());
+        let waits = matches!(act, Act::Silent | Act::ReadsNothing);
+        ask.patience = Duration::from_millis(if waits { 1_500 } else { 8_000 });
+        let reply = ask.send(&node.address).expect("an answer");
+        assert_eq!(reply.status, status, "{act:?}");
+        assert!(reply.took < ask.patience && (waits || reply.took < Duration::from_secs(2)), "{act:?}");
+        assert_eq!((node.figure("sent"), node.figure(outcome)), (1, 1), "{act:?}: {outcome}");
+        let runs = site.boxes.runs_of("q-1").len();
+        assert!(runs <= 1 && (status != 503 || runs == 0), "{act:?}: {runs} runs");
+    }
+}
+
+/// A box that turns a long body away by its head alone is heard, and what is kept goes to another.
+#[test]
+fn a_box_that_does_not_read_a_body_is_not_taken_for_broken() {
+    let _alone = alone();
+    let site = Site::new("early", 2);
+    site.operator([MIB, 8 * MIB, 16 * MIB, 64 * MIB], 16 * MIB, "stream");
+    let mut node = site.start();
+    site.boxes.script(&[Act::ReturnedEarly]);
+    let body = text(12 * MIB, 1);
+    let reply = Ask::new("q-1", "fee-charge", body.clone()).send(&node.address).expect("an answer");
+    assert_eq!((reply.status, reply.body), (200, result(&body)));
+    assert_eq!((node.figure("full"), node.figure("connect_failed")), (1, 0));
+    assert_eq!(site.boxes.runs_of("q-1").len(), 1);
+}
+
 /// A connection that is refused has passed nothing on: another box is tried also for a body that is not kept.
 #[test]
 fn a_body_that_is_not_kept_is_tried_elsewhere_until_a_byte_is_passed_on() {
+    let _alone = alone();
     let site = Site::new("elsewhere", 1);
     let closed = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
     site.scratch.write("node.json", &boxes_file(&[closed, site.boxes.addresses[0]]));
@@ -197,7 +270,8 @@
     let node = site.start();
     for i in 0..12 {
         let body = text(400 * KIB, i);
-        let ask = Ask::new(&format!("q-{i}"), "fee-charge", body.clone());
+        let mut ask = Ask::new(&format!("q-{i}"), "fee-charge", body.clone());
+        ask.chunked = i % 2 == 1;
         let reply = ask.send(&node.address).expect("an answer");
         assert_eq!((reply.status, reply.body), (200, result(&body)), "request {i}");
     }
@@ -206,6 +280,7 @@
 /// What can't be kept is refused before anything is sent, with when to come back, where the operators say so.
 #[test]
 fn what_cannot_be_kept_is_refused_where_the_operators_say_so() {
+    let _alone = alone();
     let site = Site::new("refuse", 1);
     // Promised to each of three parties: a sixth of the files' total.
     site.operator([16 * KIB, MIB, 256 * KIB, 256 * KIB], 256 * KIB, "refuse");
@@ -228,6 +303,7 @@
 /// A body that is too long is known by its head, and by its chunks as soon as they are too many.
 #[test]
 fn a_body_that_is_too_long_is_answered_at_once() {
+    let _alone = alone();
     let site = Site::new("long", 1);
     site.operator(BOUNDS, MIB, "stream");
     let mut node = site.start();
@@ -248,6 +324,7 @@
 /// `Expect: 100-continue`: told to send where the body is taken; what is refused or too long is told without it.
 #[test]
 fn a_client_that_asks_first_sends_only_what_is_wanted() {
+    let _alone = alone();
     let site = Site::new("expect", 1);
     site.operator(BOUNDS, MIB, "stream");
     let mut node = site.start();
@@ -279,6 +356,7 @@
 /// A client that stops in mid-body frees everything at once, and its box sees a broken request, never a whole one.
 #[test]
 fn a_client_that_stops_in_mid_body_leaves_nothing_behind() {
+    let _alone = alone();
     let site = Site::new("stops", 2);
     site.operator(BOUNDS, MIB, "stream");
     let mut node = site.start();
@@ -312,6 +390,7 @@
 /// and usual clients keep their turn.
 #[test]
 fn five_hundred_slow_clients_keep_no_one_waiting() {
+    let _alone = alone();
     let site = Site::new("slow", 2);
     site.operator([64 * KIB, MIB, 256 * KIB, 4 * MIB], 16 * MIB, "stream");
     let mut node = site.start();
@@ -359,6 +438,7 @@
 /// SIGHUP shrinks the budgets under load, a bad file changes nothing, and SIGTERM with files open finishes all.
 #[test]
 fn budgets_shrink_under_load_and_a_term_finishes_what_has_files() {
+    let _alone = alone();
     let site = Site::new("signals", 2);
     site.operator([MIB, 16 * MIB, 8 * MIB, 64 * MIB], 8 * MIB, "stream");
     let mut node = site.start();
@@ -406,6 +486,7 @@
 /// A real bound on files, as an ordinary user may have it: bodies step down, none is corrupt, and the node lives.
 #[test]
 fn a_bound_on_the_size_of_files_is_a_full_disk() {
+    let _alone = alone();
     let site = Site::new("fsize", 2);
     site.operator([64 * KIB, MIB, 8 * MIB, 64 * MIB], 8 * MIB, "stream");
     let mut shell = Command::new("sh");
@@ -434,6 +515,7 @@
 /// A directory that can't be used ends the start with one line that names the key, and a reload changes nothing.
 #[test]
 fn a_directory_that_cannot_be_used_is_named_by_its_key() {
+    let _alone = alone();
     let site = Site::new("directory", 1);
     std::fs::create_dir(site.scratch.at("real")).expect("a directory");
     std::os::unix::fs::symlink(site.scratch.at("real"), site.scratch.at("link")).expect("a link");
--- a/node/tests/program.rs
+++ b/node/tests/program.rs
@@ -1,8 +1,10 @@
 //! The program as it is started: its configuration, its answers, its signals and its exit.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use sorrelhaven_standins::{Program, Scratch};
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::process::{Child, ChildStderr, Command, Stdio};
+use std::ops::{Deref, DerefMut};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 fn config(dial: &str, effect: &str) -> String {
@@ -16,26 +18,10 @@
     )
 }
 
-fn start(config: &str, name: &str) -> Child {
-    begin(Command::new(env!("CARGO_BIN_EXE_sorrelhaven")), config, name)
-}
-
-fn path(name: &str) -> std::path::PathBuf {
-    std::env::temp_dir().join(format!("sorrelhaven-{}-{name}.json", std::process::id()))
-}
-
-fn begin(mut command: Command, config: &str, name: &str) -> Child {
-    let path = path(name);
-    std::fs::write(&path, config).expect("a temporary file");
-    command.env_remove("RUST_LOG").env("RELAY_CONFIG", path).stderr(Stdio::piped());
-    command.spawn().expect("the program starts")
-}
-
-/// A program that serves; ended when dropped, whatever the test came to.
+/// A program of the test's own, with its file where a reload finds it.
 struct Running {
-    child: Child,
-    log: BufReader<ChildStderr>,
-    address: String,
+    program: Program,
+    scratch: Scratch,
 }
 
 impl Running {
@@ -44,29 +30,9 @@
     }
 
     fn begin(command: Command, config: &str, name: &str) -> Running {
-        let mut child = begin(command, config, name);
-        let log = BufReader::new(child.stderr.take().expect("its log"));
-        let mut running = Running { child, log, address: String::new() };
-        let line = running.line("ready");
-        running.address = line.rsplit("listen=").next().expect("its address").trim().to_string();
-        running
-    }
-
-    /// The next line of the log that holds `word`.
-    fn line(&mut self, word: &str) -> String {
-        let mut line = String::new();
-        while self.log.read_line(&mut line).expect("its log") > 0 {
-            if line.contains(word) {
-                return line;
-            }
-            line.clear();
-        }
-        panic!("no line with {word:?}");
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &id]).status().expect("kill").success());
+        let scratch = Scratch::new(name);
+        let program = Program::start(command, &scratch.write("node.json", config), None);
+        Running { program, scratch }
     }
 
     fn ask(&self, class: &str, timeout: &str) -> TcpStream {
@@ -79,10 +45,17 @@
     }
 }
 
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+impl Deref for Running {
+    type Target = Program;
+
+    fn deref(&self) -> &Program {
+        &self.program
+    }
+}
+
+impl DerefMut for Running {
+    fn deref_mut(&mut self) -> &mut Program {
+        &mut self.program
     }
 }
 
@@ -121,7 +94,9 @@
         ("no json".to_string(), "RELAY_CONFIG: "),
     ];
     for (i, (text, message)) in cases.iter().enumerate() {
-        let output = start(text, &format!("bad{i}")).wait_with_output().expect("it ends");
+        let scratch = Scratch::new(&format!("bad{i}"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sorrelhaven"));
+        let output = command.env("RELAY_CONFIG", scratch.write("node.json", text)).output().expect("it ends");
         let log = String::from_utf8_lossy(&output.stderr).to_string();
         assert!(!output.status.success());
         assert_eq!(log.lines().count(), 1, "{log}");
@@ -178,12 +153,12 @@
     let (mut job, _) = listener.accept().expect("the job comes");
     read(&mut job, "body");
 
-    std::fs::write(path("reload"), text.replace("at_most_once", "often")).expect("a temporary file");
+    node.scratch.write("node.json", &text.replace("at_most_once", "often"));
     node.signal("HUP");
     let fault = node.line("stays as it was");
     assert!(fault.contains("settings.grades[1].effect: unknown effect"), "{fault}");
     let moved = text.replace(&old_address, &new_address).replace("\"1f\"", "\"2f\"");
-    std::fs::write(path("reload"), moved).expect("a temporary file");
+    node.scratch.write("node.json", &moved);
     node.signal("HUP");
     assert!(node.line("wait for a restart").contains("seed"));
     // Another agent may count its versions in another way, so it is asked for all that it has.
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -20,6 +20,20 @@
     Returned,
     /// Runs it, and says that it was killed.
     Lost,
+    /// Answers 503 with `Not-Started: 1` from the head alone, and ends the connection with the body unread.
+    ReturnedEarly,
+    /// Answers 400.
+    Unusable,
+    /// Runs it, says that it has started, and ends its answer.
+    Cuts,
+    /// Runs it, and answers with what is no job line.
+    Garbage,
+    /// Runs it, and answers for another request.
+    OtherId,
+    /// Runs it, and answers with a line that has no end.
+    Huge,
+    /// Reads the head and no more, for as long as the other side waits.
+    ReadsNothing,
     /// Resets the connection in the middle of the body.
     BreaksBefore,
     /// Runs it, and resets the connection without a word.
@@ -44,6 +58,7 @@
 #[derive(Default)]
 struct Shared {
     script: VecDeque<Act>,
+    usual: Option<Act>,
     runs: Vec<Run>,
     broken: usize,
 }
@@ -89,6 +104,11 @@
         self.shared().script = acts.iter().copied().collect();
     }
 
+    /// What is done with the requests beyond the script, instead of [`Act::Done`].
+    pub fn usual(&self, act: Act) {
+        self.shared().usual = Some(act);
+    }
+
     /// What they ran so far.
     pub fn runs(&self) -> Vec<Run> {
         self.shared().runs.clone()
@@ -111,16 +131,34 @@
         let mut reader = BufReader::new(reader);
         while let Some(head) = Head::read(&mut reader) {
             // The script goes by the order in which requests come.
-            let act = self.shared().script.pop_front().unwrap_or(Act::Done);
-            if act == Act::BreaksBefore {
-                let _ = reader.read(&mut [0; 16]);
-                return reset(stream);
+            let act = {
+                let mut shared = self.shared();
+                let usual = shared.usual.unwrap_or(Act::Done);
+                shared.script.pop_front().unwrap_or(usual)
+            };
+            match act {
+                Act::BreaksBefore => {
+                    let _ = reader.read(&mut [0; 16]);
+                    return reset(stream);
+                }
+                Act::ReturnedEarly => {
+                    let _ = (&stream).write_all(NOT_STARTED);
+                    return;
+                }
+                Act::ReadsNothing => {
+                    // It ends when the other side does, which shows as soon as what it wrote was read.
+                    while stream.peek(&mut [0]).is_ok_and(|n| n > 0) && !closed(&stream) {
+                        thread::sleep(Duration::from_millis(10));
+                    }
+                    return;
+                }
+                _ => {}
             }
             let Ok(body) = head.body(&mut reader) else {
                 self.shared().broken += 1;
                 return;
             };
-            if act != Act::Returned {
+            if !matches!(act, Act::Returned | Act::Unusable) {
                 let run = Run { id: head.id.clone(), at, length: body.len(), sum: sum(&body) };
                 self.shared().runs.push(run);
             }
@@ -139,6 +177,15 @@
     }
 }
 
+const NOT_STARTED: &[u8] = b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// Whether the other side has ended the connection, whatever of it is unread.
+fn closed(stream: &TcpStream) -> bool {
+    let mut ends = [rustix::event::PollFd::new(stream, rustix::event::PollFlags::RDHUP)];
+    let now = rustix::time::Timespec { tv_sec: 0, tv_nsec: 0 };
+    rustix::event::poll(&mut ends, Some(&now)).is_ok_and(|n| n > 0)
+}
+
 /// Ends a connection with a reset: what has come and is not read makes it one.
 fn reset(stream: TcpStream) {
     let _ = stream.set_linger_zero();
@@ -157,7 +204,10 @@
 
 fn answer(mut stream: &TcpStream, id: &str, act: Act, body: &[u8]) -> io::Result<()> {
     if act == Act::Returned {
-        return stream.write_all(b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+        return stream.write_all(NOT_STARTED);
+    }
+    if act == Act::Unusable {
+        return stream.write_all(b"HTTP/1.1 400 What\r\nContent-Length: 0\r\n\r\n");
     }
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
     let mut say = |news: &str| {
@@ -166,6 +216,18 @@
     };
     say("\"state\":\"started\"")?;
     match act {
+        Act::Cuts => {}
+        Act::Garbage => stream.write_all(b"5\r\nwhat\n\r\n")?,
+        Act::Huge => {
+            let line = vec![b'x'; 300_000];
+            stream.write_all(format!("{:x}\r\n", line.len()).as_bytes())?;
+            stream.write_all(&line)?;
+            stream.write_all(b"\r\n")?;
+        }
+        Act::OtherId => {
+            let line = "{\"id\":\"another\",\"from\":\"s\",\"state\":\"done\",\"result\":\"1\"}\n";
+            stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes())?;
+        }
         Act::Failed => say("\"state\":\"failed\"")?,
         Act::Lost => say("\"state\":\"lost\"")?,
         act => {
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -68,21 +68,30 @@
                 return Ok(reply);
             }
         }
-        // The answer may come before the body is written, and end the writing.
-        let written = if self.chunked {
-            let mut pieces = self.body.chunks(10_000).map(|piece| {
-                let mut chunk = format!("{:x}\r\n", piece.len()).into_bytes();
-                chunk.extend_from_slice(piece);
-                chunk.extend_from_slice(b"\r\n");
-                chunk
-            });
-            pieces
-                .try_for_each(|chunk| stream.write_all(&chunk))
-                .and_then(|()| stream.write_all(b"0\r\nX: y\r\n\r\n"))
-        } else {
-            stream.write_all(&self.body)
-        };
-        Reply::read(stream, begun).map_err(|e| written.err().unwrap_or(e))
+        // The answer may come before the body is written: whoever does not read while it writes could miss it.
+        let mut writing = stream.try_clone()?;
+        std::thread::scope(|scope| {
+            let writer = scope.spawn(move || self.write_body(&mut writing));
+            let reply = Reply::read(stream, begun);
+            // What is left to write is for no one.
+            if reply.is_err() || !writer.is_finished() {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+            let written = writer.join().unwrap_or(Ok(()));
+            reply.map_err(|e| written.err().unwrap_or(e))
+        })
+    }
+
+    fn write_body(&self, stream: &mut TcpStream) -> io::Result<()> {
+        if !self.chunked {
+            return stream.write_all(&self.body);
+        }
+        for piece in self.body.chunks(10_000) {
+            stream.write_all(format!("{:x}\r\n", piece.len()).as_bytes())?;
+            stream.write_all(piece)?;
+            stream.write_all(b"\r\n")?;
+        }
+        stream.write_all(b"0\r\nX: y\r\n\r\n")
     }
 }
 
--- a/standins/src/program.rs
+++ b/standins/src/program.rs
@@ -50,6 +50,7 @@
     /// The process.
     pub child: Child,
     log: BufReader<ChildStderr>,
+    swept: u64,
     /// Where it listens.
     pub address: String,
 }
@@ -66,8 +67,16 @@
         }
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
         let log = BufReader::new(child.stderr.take().expect("its log"));
-        let mut program = Program { child, log, address: String::new() };
-        let line = program.line("ready");
+        let mut program = Program { child, log, swept: 0, address: String::new() };
+        let line = loop {
+            let line = program.line("");
+            if let Some(swept) = line.split("swept=").nth(1) {
+                program.swept = swept.trim().parse().unwrap_or(0);
+            }
+            if line.contains(" ready ") {
+                break line;
+            }
+        };
         program.address = line.rsplit("listen=").next().expect("its address").trim().to_string();
         program
     }
@@ -84,6 +93,11 @@
         panic!("no line with {word:?}");
     }
 
+    /// The leftovers that it swept at its start.
+    pub fn swept(&self) -> u64 {
+        self.swept
+    }
+
     /// Sends it a signal by its short name.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
