--- a/bodies/tests/directory.rs
+++ b/bodies/tests/directory.rs
@@ -1,33 +1,9 @@
 //! The operators' directory: what makes it unusable, and what is swept from it.
 
 use sorrelhaven_bodies::{Directory, Disk};
+use sorrelhaven_standins::Scratch;
 use std::os::unix::fs::{MetadataExt, symlink};
-use std::path::{Path, PathBuf};
-
-/// A directory of the test's own, gone in the end.
-struct Scratch(PathBuf);
-
-impl Scratch {
-    fn new(name: &str) -> Scratch {
-        let path = std::env::temp_dir().join(format!("sorrelhaven-dir-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&path).expect("a directory");
-        Scratch(path.canonicalize().expect("it is there"))
-    }
-
-    fn names(&self) -> Vec<String> {
-        let entries = std::fs::read_dir(&self.0).expect("a directory");
-        let mut names: Vec<String> =
-            entries.map(|e| e.expect("an entry").file_name().to_string_lossy().into_owned()).collect();
-        names.sort();
-        names
-    }
-}
-
-impl Drop for Scratch {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
+use std::path::Path;
 
 fn fault(path: &Path) -> String {
     match Directory::open(path, "n0") {
@@ -76,12 +52,12 @@
         std::fs::write(scratch.0.join(name), "half a bo").expect("a file");
     }
     let directory = Directory::open(&scratch.0, "n0").expect("a sound directory");
-    assert_eq!(scratch.names().len(), 5, "to look at it changes nothing");
+    assert_eq!(scratch.names(".").len(), 5, "to look at it changes nothing");
     assert_eq!((directory.sweep().expect("a listing"), directory.is_full()), (2, false));
-    assert_eq!(scratch.names(), ["notes.txt", others[1], others[0]]);
+    assert_eq!(scratch.names("."), ["notes.txt", others[1], others[0]]);
     let file = directory.create().expect("a file");
     file.write_at(b"a body", 0).expect("room");
-    assert_eq!(scratch.names().len(), 3, "a file has no name");
+    assert_eq!(scratch.names(".").len(), 3, "a file has no name");
     let mut back = [0; 4];
     file.read_at(&mut back, 2).expect("it is there");
     assert_eq!(&back, b"body");
--- a/bodies/tests/spool.rs
+++ b/bodies/tests/spool.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use sorrelhaven_bodies::{BLOCK, Bodies, End, Reader, Spool, Step, Unreadable, Writer};
 use sorrelhaven_config::{Bodies as Settings, BodyFiles, BodyMemory, Unkept};
-use sorrelhaven_standins::{StandInDisk, check};
+use sorrelhaven_standins::{StandInDisk, check, text};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -32,18 +32,6 @@
     Bodies::new(settings, 1, Some(Arc::new(disk.clone())), || Some(Box::new(())))
 }
 
-/// Bytes that differ from place to place and from seed to seed.
-fn text(length: usize, seed: u64) -> Vec<u8> {
-    let mut x = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
-    let mut next = || {
-        x ^= x << 13;
-        x ^= x >> 7;
-        x ^= x << 17;
-        x as u8
-    };
-    (0..length).map(|_| next()).collect()
-}
-
 async fn write(mut writer: Writer, bytes: &[u8], piece: usize) -> Result<End, End> {
     for piece in bytes.chunks(piece.max(1)) {
         writer.push(piece).await?;
--- a/node/tests/bodies.rs
+++ b/node/tests/bodies.rs
@@ -1,6 +1,6 @@
 //! Bodies through the program: what each step means, byte for byte, and what a disk, a client or a signal may do.
 
-use sorrelhaven_standins::{Act, Ask, Boxes, Program, Reply, Scratch, boxes_file, sum};
+use sorrelhaven_standins::{Act, Ask, Boxes, Program, Reply, Scratch, boxes_file, sum, text};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::process::Command;
@@ -11,18 +11,6 @@
 const KIB: usize = 1024;
 const MIB: usize = 1024 * KIB;
 
-/// Bytes that differ from place to place and from seed to seed.
-fn text(length: usize, seed: u64) -> Vec<u8> {
-    let mut x = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
-    let mut next = || {
-        x ^= x << 13;
-        x ^= x >> 7;
-        x ^= x << 17;
-        x as u8
-    };
-    (0..length).map(|_| next()).collect()
-}
-
 /// An installation: boxes, a directory and an operators' file.
 struct Site {
     scratch: Scratch,
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -76,6 +76,18 @@
     bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, &b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
+/// Bytes that differ from place to place and from seed to seed.
+pub fn text(length: usize, seed: u64) -> Vec<u8> {
+    let mut x = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut next = || {
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        x as u8
+    };
+    (0..length).map(|_| next()).collect()
+}
+
 impl Boxes {
     /// So many boxes on loopback.
     pub fn new(count: usize) -> Boxes {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,7 +8,7 @@
 mod program;
 mod settings;
 
-pub use boxes::{Act, Boxes, Run, sum};
+pub use boxes::{Act, Boxes, Run, sum, text};
 pub use cases::check;
 pub use client::{Ask, Reply};
 pub use disk::{Conduct, StandInDisk};
