A checker holds what clients asked and heard against what the boxes ran

Need: the crash test proved its rules by itself, where every later subsystem must prove the same ones.

--- a/node/tests/crash.rs
+++ b/node/tests/crash.rs
@@ -3,11 +3,10 @@
 //!
 //! `SORRELHAVEN_KILLS` sets how often it is killed (12 where it is not set); the points come from a fixed seed.
 
-use sorrelhaven_standins::{Ask, Boxes, Program, Scratch, boxes_file, sum};
-use std::collections::HashMap;
+use sorrelhaven_standins::{Ask, Boxes, Checker, ONCE, Program, Scratch, boxes_file};
 use std::process::Command;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -37,7 +36,7 @@
     // Another node's, which must live through all of it.
     scratch.write("spool/sorrelhaven-body.n01.1.0.part", "another's");
     let next = Arc::new(AtomicU64::new(0));
-    let answers: Arc<Mutex<HashMap<u64, u16>>> = Arc::default();
+    let checker = Arc::<Checker>::default();
     let (mut random, mut left, mut swept) = (0x2545_f491_4f6c_dd1d_u64, 0, 0);
     for _ in 0..kills {
         let mut node =
@@ -51,14 +50,15 @@
         let stop = Arc::new(AtomicBool::new(false));
         let clients: Vec<_> = (0..CLIENTS)
             .map(|_| {
-                let (address, next, answers, stop) =
-                    (node.address.clone(), next.clone(), answers.clone(), stop.clone());
+                let (address, next, checker, stop) =
+                    (node.address.clone(), next.clone(), checker.clone(), stop.clone());
                 thread::spawn(move || {
                     while !stop.load(Ordering::Relaxed) {
                         let n = next.fetch_add(1, Ordering::Relaxed);
-                        let ask = Ask::new(&format!("pay-{n}"), "fee-charge", body(n));
+                        let ask = Ask::new(&format!("pay-{n}"), ONCE, body(n));
+                        checker.asked(&ask);
                         match ask.send(&address) {
-                            Ok(reply) => _ = answers.lock().expect("a map").insert(n, reply.status),
+                            Ok(reply) => checker.answered(&ask.id, reply.status),
                             Err(_) => return,
                         }
                     }
@@ -78,22 +78,12 @@
         scratch.write("spool/sorrelhaven-body.n0.1.7.part", "half a bo");
     }
     let runs = boxes.runs();
-    for run in &runs {
-        let n: u64 = run.id.strip_prefix("pay-").and_then(|n| n.parse().ok()).expect("an id of ours");
-        let whole = body(n);
-        assert_eq!((run.length, run.sum), (whole.len(), sum(&whole)), "{} ran half of its body", run.id);
-        assert_eq!(boxes.runs_of(&run.id).len(), 1, "{} ran twice", run.id);
-    }
-    let answers = answers.lock().expect("a map");
-    let served: Vec<u64> = answers.iter().filter(|a| *a.1 == 200).map(|a| *a.0).collect();
-    for n in &served {
-        assert_eq!(boxes.runs_of(&format!("pay-{n}")).len(), 1, "served and not run");
-    }
-    assert!(served.len() as u64 > kills && runs.len() >= served.len());
-    let sent = next.load(Ordering::Relaxed);
+    assert_eq!(checker.faults(&runs), [""; 0]);
+    let (sent, served) = checker.counts();
+    assert!(served as u64 > kills && runs.len() >= served);
     println!(
         "{kills} kills: {sent} payments sent, {} run, {} served, none twice; {left} names left by kills, {swept} swept",
         runs.len(),
-        served.len()
+        served
     );
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod boxes;
 mod cases;
+mod checker;
 mod client;
 mod disk;
 mod program;
@@ -10,6 +11,7 @@
 
 pub use boxes::{Act, Boxes, Run, sum, text};
 pub use cases::check;
+pub use checker::{Checker, ONCE};
 pub use client::{Ask, Reply};
 pub use disk::{Conduct, StandInDisk};
 pub use program::{Program, Scratch};
