A body without a descriptor for its file keeps to its window; one loop fills a link

Cause: where no descriptor was free for a body's file, the spool took the body as not kept and the plan did not: the next piece was kept in memory beyond the window, and a later file would have begun in mid-body.

Change: the plan is told. Found by reading the change again, with it: the two loops that fill a link are one; small requests no longer wake the task that moves bodies to files, which is woken only where memory is short; a getter and a return value that no one used are gone.

Measured: the new test fails without the mend and passes with it; all tests pass.

--- a/bodies/src/plan.rs
+++ b/bodies/src/plan.rs
@@ -247,6 +247,13 @@
         (Verdict::Unkept(why), news)
     }
 
+    /// From here on nothing more of a body is kept, for a reason that the plan does not know of: no descriptor was free.
+    pub fn unkept(&mut self, id: BodyId) {
+        if let Some(body) = self.bodies.get_mut(&id) {
+            body.step = Step::Unkept;
+        }
+    }
+
     /// The disk has taken a body whole, or a piece after a trouble: files are open as before.
     pub fn disk_well(&mut self) -> bool {
         self.disk.pause = Duration::ZERO;
@@ -276,11 +283,16 @@
         }
     }
 
+    /// Whether memory is short and there are files to move bodies to.
+    pub fn pressed(&self) -> bool {
+        let (part, of) = PRESSURE;
+        self.limits.files.is_some() && self.memory.used() * of > self.memory.total() * part
+    }
+
     /// A whole body to be moved from memory to a file now, where memory is short: the largest of the party that
     /// holds most of it. Small ones stay. It counts as held in both until the move is over.
     pub fn relief(&mut self, now: Now) -> Option<BodyId> {
-        let (part, of) = PRESSURE;
-        if self.memory.used() * of <= self.memory.total() * part || self.moves >= MOVES {
+        if !self.pressed() || self.moves >= MOVES {
             return None;
         }
         let movable = self
--- a/bodies/src/spool.rs
+++ b/bodies/src/spool.rs
@@ -5,7 +5,7 @@
 
 use crate::disk::{Disk, DiskFile, is_full};
 use crate::end::{End, Unreadable};
-use crate::plan::{BodyId, Limits, Now, Plan, Step, Verdict, Why};
+use crate::plan::{BodyId, Now, Plan, Step, Verdict, Why};
 use crate::pool::Pool;
 use crate::settings;
 use event_listener::Event;
@@ -107,11 +107,6 @@
         first + grace + Duration::from_secs_f64(came as f64 / self.slowest.get().max(1) as f64)
     }
 
-    /// The limits in force.
-    pub fn limits(&self) -> Limits {
-        self.plan.borrow().limits().clone()
-    }
-
     /// Bytes held in memory and in files.
     pub fn held(&self) -> (u64, u64) {
         self.plan.borrow().held()
@@ -196,12 +191,18 @@
     }
 
     /// The disk has failed a body; says so once until it is well again.
-    fn trouble(&self, id: BodyId, why: Why, error: &str) -> Verdict {
-        let (verdict, news) = self.plan.borrow_mut().trouble(self.now(), id, why);
+    fn trouble(&self, id: BodyId, why: Why, error: &str) {
+        let (_, news) = self.plan.borrow_mut().trouble(self.now(), id, why);
         if news {
             warn!(?why, error, "the disk for bodies is stepped away from");
         }
-        verdict
+    }
+
+    /// Has bodies moved to files where memory has become short.
+    fn relief(&self) {
+        if self.plan.borrow().pressed() {
+            self.pressure.notify(1);
+        }
     }
 }
 
@@ -505,7 +506,7 @@
                     state.step = step;
                     state.append(bytes, *declared);
                 }
-                bodies.pressure.notify(1);
+                bodies.relief();
                 if step == Step::File {
                     let kept = async {
                         if self.shared.state.borrow().file.is_none() {
@@ -541,7 +542,7 @@
         });
         let Shared { bodies, id, .. } = &*self.shared;
         bodies.plan.borrow_mut().whole(*id);
-        bodies.pressure.notify(1);
+        bodies.relief();
         self.end(end)
     }
 
@@ -567,7 +568,7 @@
 
     /// From here on nothing more is kept.
     fn unkept(&self, why: Why) -> Result<(), End> {
-        let Shared { bodies, state, .. } = &*self.shared;
+        let Shared { bodies, id, state, .. } = &*self.shared;
         {
             let state = &mut *state.borrow_mut();
             if state.unkept_from.is_some() {
@@ -582,6 +583,7 @@
             Why::DiskFailed => 2,
             Why::DiskSlow => 3,
         };
+        bodies.plan.borrow_mut().unkept(*id);
         bodies.counters.unkept[kind].add(1);
         if bodies.refuse.get() { Err(self.end(End::unkept(why))) } else { Ok(()) }
     }
--- a/bodies/tests/spool.rs
+++ b/bodies/tests/spool.rs
@@ -277,6 +277,27 @@
     });
 }
 
+/// A body whose file has no descriptor is not kept either, and waits for its reader as any such body does.
+#[test]
+fn a_body_without_a_descriptor_for_its_file_is_held_to_the_window() {
+    let disk = StandInDisk::new(64 * MIB);
+    let settings = settings((64 * KIB, MIB), (8 * MIB, 64 * MIB));
+    let bodies = Bodies::new(&settings, 1, Some(Arc::new(disk.clone())), || None);
+    let mut writer = bodies.begin(0, None).ok().expect("no length");
+    let spool = writer.spool();
+    let sent = text(BLOCK, 1);
+    block_on(async {
+        for _ in 0..3 {
+            writer.push(&sent).await.expect("memory, what outgrew it, and one window");
+        }
+        assert_eq!((spool.step(), disk.files()), (Step::Unkept, 0));
+        assert!(poll_once(writer.push(&sent)).await.is_none(), "no room beyond the window");
+        drop(writer);
+        assert_eq!(read(spool.reader()).await, Err(Unreadable::Ended(End::Refused)));
+    });
+    assert_eq!((figure(&bodies, "unkept_budget"), bodies.held()), (1, (0, 0)));
+}
+
 /// While nothing that is not kept was passed on, another execution can have the whole body.
 #[test]
 fn the_kept_front_of_a_body_can_be_sent_again() {
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -43,23 +43,17 @@
 
     /// Waits for more bytes. Nothing is lost if the wait is dropped.
     pub async fn fill(&mut self) -> Result<(), Fault> {
-        loop {
-            match self.read() {
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.stream.readable().await.map_err(|_| Fault::Broken)?;
-                }
-                Err(_) => return Err(Fault::Broken),
-                Ok(0) => return Err(Fault::Closed),
-                Ok(_) => return Ok(()),
-            }
-        }
+        self.fill_by(Link::read).await
     }
 
     /// Waits for more bytes of a body, and takes more of them at once.
     async fn fill_body(&mut self) -> Result<(), Fault> {
+        self.fill_by(|link| SCRATCH.with_borrow_mut(|scratch| link.read_into(scratch))).await
+    }
+
+    async fn fill_by(&mut self, read: impl Fn(&mut Link) -> io::Result<usize>) -> Result<(), Fault> {
         loop {
-            match SCRATCH.with_borrow_mut(|scratch| self.read_into(scratch)) {
+            match read(self) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     self.stream.readable().await.map_err(|_| Fault::Broken)?;
