Few nodes look at a cold executor, and what is less than a job goes to it on credit

Seen (events of all 100 nodes counted): once six in ten executors are replaced, the new ones get no job at all; boxes used fall from 60 to 24, starts on the old ones take 0.3 to 4 s, jobs are held up to 4 s in the nodes, and a quarter times out.

Cause: cold_budget() gave each node a part of a cold box's room in one window; with 100 nodes that is about 0.04 s of work, less than any job. choose_set() counted a cold box like a warm one, so 8 to 40 nodes held each. And one usual wait for the whole fleet hid that all nodes liked the same fast kind best.

Change: places of the N stand on a ring where a box is as wide as its rating times its warmth, so few nodes hold a cold one; the room is a leaky bucket on which one job may go in debt, with a random first debt; capacity is taken from what a node's own work says a box of that size carries, not from the slots that one node sees in use; the usual wait is kept for each kind. The least N is 8.

--- a/src/record.rs
+++ b/src/record.rs
@@ -32,6 +32,8 @@
     pub epc: Epc,
     /// The slots it has been seen to use.
     pub slots: f64,
+    /// How long jobs usually wait for their start there, in microseconds.
+    pub wait: f64,
 }
 
 /// The keys of the jobs that a worker was sent last.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,13 +6,13 @@
 
 use crate::interface::*;
 use crate::record::{Epc, Keys, Kind, distance};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The top N is so many times the jobs that this dispatcher has running at once: a worker is met again within
 /// the length of about so many jobs, and a queue known for longer than that has changed before it is used.
 const N_PER_JOB: f64 = 3.0;
 /// The least N: below it one failed worker would be too large a share, and big and small jobs share lanes.
-const N_LEAST: f64 = 4.0;
+const N_LEAST: f64 = 8.0;
 /// The request rate and the mean size follow over about this many requests.
 const RATE_HISTORY: f64 = 50.0;
 /// The paper's α: one time-out halves a worker's EPC.
@@ -32,7 +32,7 @@
 const START_GRACE: Micros = 25_000;
 /// After this long without news half of a worker's known queue is taken to be gone.
 const WAIT_HALF: f64 = 2_000_000.0;
-/// Starts over which the fleet's usual wait, to which a worker's known wait fades, is taken.
+/// Starts over which a kind's usual wait, to which a worker's known wait fades, is taken.
 const USUAL_HISTORY: f64 = 20.0;
 /// How many times too long a job's expected time may be.
 const HINT_ERROR: f64 = 2.0;
@@ -42,6 +42,10 @@
 const LOSSY_TRIALS: u32 = 3;
 /// The share of a cold worker's budget that is used: hints are rough and the other dispatchers blind.
 const COLD_SHARE: f64 = 0.35;
+/// The share of what a cold worker can do in the window that one job may ask for, where it goes on credit.
+const COLD_ONE: f64 = 0.4;
+/// The set is chosen anew after this long: workers warm up.
+const SET_KEPT: Micros = 1_000_000;
 /// The share of the mean size that a send to a cold worker counts as at least.
 const COLD_FLOOR: f64 = 0.25;
 /// A worker that has shown life within this time is not taken to be dead for one connection that breaks.
@@ -91,7 +95,8 @@
     wait_at: Micros,
     alive: Micros,
     in_flight: Vec<Attempt>,
-    sent_cold: VecDeque<(Micros, f64)>,
+    cold_debt: f64,
+    cold_at: Micros,
     keys: Keys,
 }
 
@@ -147,7 +152,9 @@
     kinds: Vec<Kind>,
     fleet: Epc,
     mean_rating: f64,
-    fleet_size: f64,
+    ratings: f64,
+    per_weight: f64,
+    set_until: Micros,
     shared_timeouts: u32,
     ring: Vec<WorkerId>,
     set: Vec<WorkerId>,
@@ -167,7 +174,6 @@
     try_length: Vec<Micros>,
     watch_failures: u32,
     repeats: f64,
-    usual_wait: f64,
 }
 
 impl Dispatcher {
@@ -264,12 +270,9 @@
         }
         let ready = self.workers.iter().filter(|w| w.ready());
         let (sum, n) = ready.fold((0.0, 0.0), |a, w| (a.0 + w.entry.rating, a.1 + 1.0));
-        self.fleet_size = n;
+        self.ratings = sum;
         self.mean_rating = if n > 0.0 && sum > 0.0 { sum / n } else { 1.0 };
         self.ring = (0..self.workers.len() as u32).map(WorkerId).collect();
-        if self.workers.iter().filter(|w| w.ready()).count() * 2 < self.ring.len() {
-            self.ring.retain(|id| self.workers[id.0 as usize].ready());
-        }
         let place = |id: &WorkerId| self.workers.get(id.0 as usize).map(|w| (w.entry.kind, w.entry.key, *id));
         self.ring.sort_by_key(place);
         self.set_stale = true;
@@ -278,6 +281,7 @@
 
     fn on_entry(&mut self, entry: Entry) {
         let classes = self.settings.classes.len();
+        let draw = self.rng.f64() * self.mean_size;
         let w = self.worker_mut(entry.worker);
         w.epc.resize(classes, Epc::default());
         w.full.resize(classes, (0, 0));
@@ -285,7 +289,7 @@
             // A fresh process: what the old one did or failed to do says nothing of it.
             w.timeouts = 0;
             w.full.fill((0, 0));
-            w.sent_cold.clear();
+            (w.cold_debt, w.cold_at) = (draw, entry.born);
             w.keys.clear();
         }
         w.entry = entry;
@@ -296,18 +300,24 @@
         }
     }
 
-    /// Chooses the workers that this dispatcher works with: the paper's top N, made narrow. The known workers
-    /// stand in a ring by kind and key; N places are spread evenly over it, moved by the dispatcher's number
-    /// so that all dispatchers together cover it evenly, each with its share of every kind. Guards against
-    /// knowledge that is stale when used, and against many connections. From a closed or cold worker the
-    /// place looks further as well, so that a failure widens the set.
+    /// Chooses the workers that this dispatcher works with: the paper's top N, made narrow. The workers stand
+    /// in a ring by kind and key, each as wide as its weight; N places stand evenly on it, moved by the
+    /// dispatcher's number: together they cover the fleet. Guards against stale knowledge, many connections
+    /// and all dispatchers at one cold worker. From a closed worker a place looks further as well.
     fn choose_set(&mut self, now: Micros) {
         let all = self.ring.len();
+        let ends = self.ring.iter().scan(0.0, |sum, &id| {
+            *sum += self.weight(id, now);
+            Some(*sum)
+        });
+        let ends: Vec<f64> = ends.collect();
         let n = self.n.min(all);
+        self.per_weight = n as f64 / ends.last().map_or(1.0, |end| end.max(1e-9));
         let phase = f64::from(self.settings.me) * 0.618_033_988_749_895;
         let mut set: Vec<WorkerId> = Vec::new();
         for j in 0..n {
-            let at = ((j as f64 + (phase * (j + 1) as f64).fract()) / n as f64 * all as f64) as usize;
+            let place = (j as f64 + (phase * (j + 1) as f64).fract()) / self.per_weight;
+            let at = ends.partition_point(|&end| end <= place);
             let mut taken = 0;
             for id in (0..all).map(|step| self.ring[(at + step) % all]) {
                 let w = self.worker(id);
@@ -315,7 +325,7 @@
                     set.push(id);
                     taken += 1;
                     let open = w.full.iter().all(|f| f.1 <= now);
-                    if taken == 3 || open && self.sound(id) && self.warmth(w, now) >= 1.0 {
+                    if taken == 3 || open && self.sound(id) {
                         break;
                     }
                 }
@@ -324,6 +334,13 @@
         set.sort_unstable();
         set.iter().for_each(|&id| self.estimate(id));
         self.set = set;
+        self.set_until = now + SET_KEPT;
+    }
+
+    /// What a worker can do at present beside others.
+    fn weight(&self, id: WorkerId, now: Micros) -> f64 {
+        let w = self.worker(id);
+        if w.ready() { w.entry.rating.max(1e-3) * self.warmth(w, now) } else { 0.0 }
     }
 
     /// Follows the work that arrives, and N with it.
@@ -362,8 +379,7 @@
 
     // ---- Capacity (EPC) ----
 
-    /// Works out a worker's EPC when warm: its own record in each class over its record in all, its kind's
-    /// and its rating.
+    /// Works out a worker's EPC when warm, from its record in each class, in all, its kind's and its rating.
     fn estimate(&mut self, id: WorkerId) {
         let w = self.worker(id);
         let rated = (w.entry.rating / self.mean_rating).sqrt().clamp(0.5, 2.0);
@@ -394,8 +410,7 @@
         w.timeouts.saturating_sub(self.shared_timeouts)
     }
 
-    /// c' = c/(1+α·R), where jobs that run far over their time already count as time-outs, until the worker
-    /// shows life: then it is the answer that is lost, or one job that is long.
+    /// c' = c/(1+α·R), where jobs far over their time count as time-outs until the worker shows life.
     fn penalised(&self, w: &Worker, class: usize, now: Micros) -> f64 {
         let c = self.epc(w, class) * self.warmth(w, now);
         let overdue = w.in_flight.iter().filter(|a| {
@@ -412,12 +427,13 @@
 
     /// Ranks the workers for a class again if anything that ranks them has changed.
     fn rank(&mut self, class: usize, now: Micros) {
+        if now >= self.set_until || std::mem::take(&mut self.set_stale) {
+            self.choose_set(now);
+            self.change();
+        }
         if !std::mem::take(&mut self.stale[class]) {
             return;
         }
-        if std::mem::take(&mut self.set_stale) {
-            self.choose_set(now);
-        }
         let mut r: Vec<u32> = self.set.iter().map(|&id| self.worker(id).timeouts).collect();
         r.sort_unstable();
         self.shared_timeouts = r.get(r.len() / 2).copied().unwrap_or(0);
@@ -468,7 +484,7 @@
         let rest = cost / (c * slots) + run;
         let fits = width + r.width <= slots;
         let least = w.wait_now(now, 0.0) + if fits { run } else { rest };
-        (w.wait_now(now, self.usual_wait) + rest, least, fits)
+        (w.wait_now(now, self.kind(w).wait) + rest, least, fits)
     }
 
     /// Whether nothing stands before a job sent now, as far as is known, or by the `usual` wait.
@@ -478,16 +494,14 @@
     }
 
     /// Whether a job sent now would be in time, or late for no queue's sake and by no more than a rough hint
-    /// may err: then no pause would help it. What is surely late is a client's retry, above all, and feeds
-    /// an overload.
+    /// may err: then no pause would help it. What is surely late feeds an overload.
     fn worth_sending(&self, r: &Request, id: WorkerId, now: Micros, alone: bool) -> bool {
         let (_, least, _) = self.predicted(r, id, now);
         let left = (r.wanted - now) as f64;
         least <= left || alone && least <= HINT_ERROR * left && self.starts_at_once(r, id, now, 0.0)
     }
 
-    /// Whether a job sent now would likely start at once. A job that was sent and has not started tells of a
-    /// queue, or of a worker that hangs: more would only pile up behind it.
+    /// Whether a job sent now would likely start at once. One not yet started tells of a queue or a hang.
     fn room(&self, id: WorkerId, now: Micros) -> bool {
         let w = self.worker(id);
         if !self.settings.tells_start {
@@ -531,7 +545,8 @@
         }
         // What would be late anyway takes an open worker only if nothing else waits for one.
         let alone = self.held.first().is_none_or(|h| h.1 == id);
-        let fit = |w| self.starts_at_once(r, w, now, self.usual_wait) && self.worth_sending(r, w, now, false);
+        let usual = |w| self.kind(self.worker(w)).wait;
+        let fit = |w| self.starts_at_once(r, w, now, usual(w)) && self.worth_sending(r, w, now, false);
         let n = top.len();
         let rival = *top.get((draw * n as f64) as usize)?;
         let lane = top[n - 1 - self.lane(r, n)];
@@ -544,8 +559,7 @@
         if fit(best) {
             return Some(best);
         }
-        // The better one would start it late, or end it late: the others are rivals too. In a queue a key is
-        // worth the wait: jobs that went wherever there is room would fetch everything everywhere.
+        // The better one would start or end it late: the others are rivals too. A key is worth the wait.
         let known = |w| r.key == 0 || w == home || self.worker(w).keys.holds(r.key);
         let open = top.into_iter().filter(|&w| known(w) && self.room(w, now));
         let ends = open.map(|w| (self.ends(r, w, now), w));
@@ -560,8 +574,7 @@
         let spec = &self.settings.classes[class];
         let hint = a.hint.filter(|&h| h > 0).map(|h| h as f64);
         let size = hint.unwrap_or(self.s_max.max(1.0)).min(1e12);
-        // A client's further tries count from its first one, which `due` gives away; a first try with little
-        // time left comes from a client that is in a hurry.
+        // A client's further tries count from its first, by `due`; one that marks none may be in a hurry.
         self.try_length[class] = self.try_length[class].max(a.due.saturating_sub(now));
         let first = self.settings.marks_retry && !a.resent;
         let origin = if first { now } else { now.min(a.due.saturating_sub(self.try_length[class])) };
@@ -610,7 +623,6 @@
     }
 
     fn send(&mut self, now: Micros, id: RequestId, worker: WorkerId, actions: &mut Vec<Action>) {
-        let cold = self.warmth(self.worker(worker), now) < 1.0;
         let w = self.worker(worker);
         let Some(r) = self.requests.get(&id) else { return };
         // T = T_init − β·R: half of the slack this job has, so that another worker can still be in time.
@@ -618,7 +630,7 @@
         let t_init = (slack / 2.0) as Micros;
         let t = (t_init as f64 * (1.0 - BETA * self.excess(w) as f64)) as Micros;
         let check = (now + t.max(3 * START_GRACE)).min(r.due);
-        let cost = self.cold_cost(r.size * r.width);
+        let (cost, rate) = (self.cold_cost(r), self.cold_rate(worker, r.class, now).1);
         let Some(r) = self.requests.get_mut(&id) else { return };
         let (request, number, started) = (id, r.attempts, None);
         let Request { class, size, width, wanted, key, .. } = *r;
@@ -631,15 +643,13 @@
         let w = &mut self.workers[worker.0 as usize];
         w.keys.sent(key, kept);
         w.in_flight.push(Attempt { request, number, class, size, width, sent: now, wanted, started });
-        if cold {
-            w.sent_cold.push_back((now, cost));
-        }
+        w.cold_debt = (w.cold_debt - (now - w.cold_at) as f64 * rate).max(0.0) + cost;
+        w.cold_at = now;
         actions.push(Action::Send { request: id, worker, timeout: 0 });
         self.check_at(id, check);
     }
 
     fn on_started(&mut self, now: Micros, request: RequestId, attempt: u32, worker: WorkerId) {
-        let usual = self.usual_wait;
         let w = self.worker_mut(worker);
         w.alive = now;
         let Some(a) = w.in_flight.iter_mut().find(|a| a.request == request && a.number == attempt) else {
@@ -651,7 +661,8 @@
             let fresh = w.fresh(now);
             w.wait = (w.wait * fresh + waited) / (1.0 + fresh);
             w.wait_at = now;
-            self.usual_wait += (waited - usual) / USUAL_HISTORY;
+            let kind = w.entry.kind;
+            self.kinds.get_mut(kind).into_iter().for_each(|k| k.wait += (waited - k.wait) / USUAL_HISTORY);
         }
         let w = self.worker_mut(worker);
         let running: f64 = w.in_flight.iter().filter(|a| a.started.is_some()).map(|a| a.width).sum();
@@ -727,8 +738,7 @@
             self.give_up(id, actions);
             return;
         }
-        // Not started in time T: if another worker could still be in time, this one has timed out.
-        // One that has shown life since is only behind, and the job is not lost there.
+        // Not started in time T: this worker has timed out, unless it has shown life and is only behind.
         let w = self.worker(worker);
         let alive = w.unstarted().any(|a| a.request == id && a.number == number && w.alive > a.sent);
         let other = if alive { None } else { self.pick(id, now) };
@@ -829,38 +839,47 @@
                 return false;
             }
         }
-        self.cold_budget(id, r.class, r.size * r.width, now)
+        self.cold_budget(id, r.class, self.cold_cost(r), now)
     }
 
     // ---- Cold budget ----
 
-    /// What a send counts against a cold worker: a hint far under the mean is likelier wrong than right.
-    fn cold_cost(&self, cost: f64) -> f64 {
-        cost.max(self.mean_size * COLD_FLOOR)
-    }
-
     /// Whether a cold worker can take this much more. All dispatchers together must stay under a multiple of
-    /// its present capacity in any window; each takes its share of that, and less, since hints are rough.
-    /// The share goes by the dispatchers that are expected to have the worker among their N, for N over the
-    /// fleet is the chance of that at each; a worker outside the N gets a share of all of them.
+    /// its present capacity in any window; each takes its share of it, and less, as hints are rough. Where
+    /// that is less than a job, one may go all the same, and the next when the share has made up for it: with
+    /// their debts at random points, the dispatchers take turns. No one job may fill the window.
     fn cold_budget(&self, id: WorkerId, class: usize, cost: f64, now: Micros) -> bool {
         let w = self.worker(id);
-        let warmth = self.warmth(w, now);
-        if warmth >= 1.0 {
+        if self.warmth(w, now) >= 1.0 {
             return true;
         }
-        let rules = &self.settings.rules;
-        let capacity = self.kind(w).slots
-            * self.kind(w).epc.mean(self.fleet.mean(1.0, PRIOR), PRIOR).min(self.epc(w, class))
-            * warmth;
-        let chance = if self.set.contains(&id) { self.set.len() as f64 / self.fleet_size } else { 1.0 };
-        let holders = (f64::from(self.settings.balancers) * chance.min(1.0)).max(1.0);
-        let window = rules.fall as f64 * rules.fall_multiple / holders;
-        let spent: f64 = w.sent_cold.iter().filter(|s| now - s.0 <= rules.fall).map(|s| s.1).sum();
+        let (capacity, rate) = self.cold_rate(id, class, now);
+        let fall = self.settings.rules.fall as f64;
+        let debt = w.cold_debt - (now - w.cold_at) as f64 * rate;
         // What it has not got through yet says that it can do less than that.
         let behind =
             w.in_flight.iter().any(|a| (now - a.sent) as f64 > 2.0 * a.size / capacity + START_GRACE as f64);
-        !behind && spent + self.cold_cost(cost) <= capacity * window * COLD_SHARE
+        !behind && (debt.max(0.0) + cost <= rate * fall || debt <= 0.0 && cost <= capacity * fall * COLD_ONE)
+    }
+
+    /// What a send counts against a cold worker: a hint far under the mean is likelier wrong than right.
+    fn cold_cost(&self, r: &Request) -> f64 {
+        (r.size * r.width).max(self.mean_size * COLD_FLOOR)
+    }
+
+    /// The present capacity of a cold worker, as work over time, and this dispatcher's share of what all may
+    /// send, by how many have it among their N. What its size carries shows in this one's work or in slots.
+    fn cold_rate(&self, id: WorkerId, class: usize, now: Micros) -> (f64, f64) {
+        let w = self.worker(id);
+        let rules = &self.settings.rules;
+        let all = f64::from(self.settings.balancers);
+        let seen = self.kind(w).slots
+            * self.kind(w).epc.mean(self.fleet.mean(1.0, PRIOR), PRIOR).min(self.epc(w, class));
+        let carried = all * self.mean_size / self.gap.max(1.0) * w.entry.rating / self.ratings.max(1e-9);
+        let capacity = seen.max(carried) * self.warmth(w, now);
+        let chance = if self.set.contains(&id) { self.per_weight * self.weight(id, now) } else { 1.0 };
+        let holders = (all * chance.min(1.0)).max(1.0);
+        (capacity, capacity * rules.fall_multiple * COLD_SHARE / holders)
     }
 
     // ---- Health ----
@@ -889,8 +908,7 @@
                 self.change();
             }
             Outcome::Moot | Outcome::Unusable => {}
-            // A connection has broken, not a worker that lives: of one that has died the next connect tells,
-            // which harms no job.
+            // A connection has broken, not a worker that lives: of one that has died the next connect tells.
             Outcome::Reset if self.worker(id).alive > now - LIFE => {}
             // The answer was lost, not the job: the worker has shown life after it should have ended.
             Outcome::Timeout
@@ -906,13 +924,11 @@
             Outcome::Full => {
                 let effect = self.settings.classes[a.class].effect;
                 let lossy = self.settings.rules.full_may_have_run && effect == Effect::Unsafe;
-                // A queue that is full is taken to be longer than this job could have waited: its fast answer
-                // must not make the worker look idle.
+                // A full queue is taken to be longer than this job could have waited, fast as the answer was.
                 let w = self.worker_mut(id);
                 w.wait = w.wait_now(now, 0.0).max(a.wanted.saturating_sub(now) as f64);
                 w.wait_at = now;
-                // It may also turn away one class alone, with room for others: that class stays away for a
-                // while, longer where the answer cost the job, for only a job of the class shows the end.
+                // It may turn away one class alone: that class stays away, longer where this cost the job.
                 let longer = if lossy { LOSSY_TRIALS } else { 0 };
                 if let Some(f) = w.full.get_mut(a.class) {
                     *f = ((f.0 + 1).min(R_MAX), now + (TRIAL_PAUSE << (f.0 + 1 + longer)));
@@ -962,8 +978,7 @@
         (r.wanted - (r.size / best) as Micros).min(r.due)
     }
 
-    /// Sends what is held as soon as there is room, the most urgent first. Tries that find none are few, so
-    /// that a long queue costs no more than a short one.
+    /// Sends what is held as soon as there is room, the most urgent first, with few tries that find none.
     fn place_held(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let mut i = 0;
         if !self.set.iter().any(|&id| self.room(id, now)) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -72,14 +72,14 @@
 fn a_key_has_one_home_at_all_dispatchers() {
     let home = |key: u64, seed: u64| {
         let mut desk = Desk { dispatcher: Dispatcher::new(settings(), seed), next: 0 };
-        desk.tell(0, Event::Members(Members::Full((0..6).map(entry).collect())));
+        desk.tell(0, Event::Members(Members::Full((0..12).map(entry).collect())));
         keyed_arrival(&mut desk, S, key).expect("an idle fleet")
     };
-    let homes: Vec<WorkerId> = (1..20).map(|key| home(key, 1)).collect();
-    assert!((1..20).zip(&homes).all(|(key, &w)| home(key, 2) == w && home(key, 3) == w));
-    // At this rate a dispatcher works with four of the six.
-    let used = (0..6).filter(|&w| homes.contains(&WorkerId(w))).count();
-    assert_eq!(used, 4, "each is the home of some: {homes:?}");
+    let homes: Vec<WorkerId> = (1..60).map(|key| home(key, 1)).collect();
+    assert!((1..60).zip(&homes).all(|(key, &w)| home(key, 2) == w && home(key, 3) == w));
+    // At this rate a dispatcher works with eight of the twelve.
+    let used = (0..12).filter(|&w| homes.contains(&WorkerId(w))).count();
+    assert_eq!(used, 8, "each is the home of some: {homes:?}");
 }
 
 /// Where its worker is busy, a job waits for it rather than have another worker fetch what it needs.
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,178 @@
+//! Many dispatchers that share nothing, on a simulated clock, with the workers in common.
+
+mod common;
+use common::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use stepusher::*;
+
+const NODES: usize = 100;
+const WORKERS: u32 = 60;
+/// What a worker can do when warm, in standard cores; each of its slots is one.
+const CORES: f64 = 4.0;
+const MEAN: f64 = 0.35;
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrival,
+    Started(RequestId, u32, WorkerId),
+    Done(RequestId, u32, WorkerId, Micros),
+    Timer(u64),
+}
+
+/// All of them, and what was sent to each worker.
+struct Fleet {
+    nodes: Vec<Desk>,
+    due: BinaryHeap<Reverse<(Micros, usize, Due)>>,
+    rng: fastrand::Rng,
+    born: BTreeMap<u32, Micros>,
+    free: Vec<[Micros; CORES as usize]>,
+    sent: Vec<(Micros, u32, f64)>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let nodes = (0..NODES).map(|me| {
+            let rules = RuleFigures { cold_from: 0.12, cold: 24 * S, fall: S, ..settings().rules };
+            let settings =
+                Settings { me: me as u32, balancers: NODES as u32, zone: me % 3, rules, ..settings() };
+            Desk { dispatcher: Dispatcher::new(settings, 1000 + me as u64), next: 0 }
+        });
+        let mut fleet = Fleet {
+            nodes: nodes.collect(),
+            due: BinaryHeap::new(),
+            rng: fastrand::Rng::with_seed(3),
+            born: BTreeMap::new(),
+            free: vec![[0; CORES as usize]; WORKERS as usize],
+            sent: Vec::new(),
+        };
+        let list: Vec<Entry> = (0..WORKERS).map(|n| fleet.entry(n)).collect();
+        for node in 0..NODES {
+            fleet.tell(0, node, Event::Members(Members::Full(list.clone())));
+            let first = fleet.rng.i64(0..200 * MS);
+            fleet.due.push(Reverse((first, node, Due::Arrival)));
+        }
+        fleet
+    }
+
+    fn entry(&self, n: u32) -> Entry {
+        let born = self.born.get(&n).copied().unwrap_or(0);
+        Entry { born, rating: CORES, zone: (n % 3) as usize, ..entry(n) }
+    }
+
+    /// A worker starts again, and all are told within 0.1 s.
+    fn restart(&mut self, now: Micros, n: u32) {
+        self.born.insert(n, now);
+        self.free[n as usize].fill(now);
+        for node in 0..NODES {
+            self.tell(now, node, Event::Members(Members::Delta(vec![self.entry(n)])));
+        }
+    }
+
+    fn warmth(&self, now: Micros, n: u32) -> f64 {
+        let age = self.born.get(&n).map_or(Micros::MAX, |born| now - born);
+        (0.12 + 0.88 * age as f64 / (24 * S) as f64).min(1.0)
+    }
+
+    fn tell(&mut self, now: Micros, node: usize, event: Event) {
+        for action in self.nodes[node].tell(now, event) {
+            match action {
+                Action::Send { request, worker, .. } => {
+                    let size = self.size(node, request);
+                    self.sent.push((now, worker.0, size));
+                    let slots = &self.free[worker.0 as usize];
+                    let slot = (0..slots.len()).min_by_key(|&s| slots[s]).expect("it has slots");
+                    let start = slots[slot].max(now + 2 * MS);
+                    let end = start + (size * 1e6 / self.warmth(start, worker.0)) as Micros;
+                    self.free[worker.0 as usize][slot] = end;
+                    self.due.push(Reverse((start, node, Due::Started(request, 0, worker))));
+                    self.due.push(Reverse((end, node, Due::Done(request, 0, worker, end - now))));
+                }
+                Action::Timer { delay, token } => {
+                    self.due.push(Reverse((now + delay, node, Due::Timer(token))))
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The size of a node's job in seconds: exponential, drawn from its number.
+    fn size(&self, node: usize, request: RequestId) -> f64 {
+        let draw = fastrand::Rng::with_seed(request.0 << 8 | node as u64).f64();
+        -MEAN * (1.0 - draw).ln().max(-4.0)
+    }
+
+    /// Goes on until then; each node takes a job every 0.25 s or so.
+    fn run(&mut self, until: Micros) {
+        while let Some(Reverse((now, node, due))) = self.due.pop() {
+            if now >= until {
+                self.due.push(Reverse((now, node, due)));
+                return;
+            }
+            match due {
+                Due::Arrival => {
+                    let request = RequestId(self.nodes[node].next);
+                    self.nodes[node].next += 1;
+                    let hint = Some((self.size(node, request) * 1e6) as Micros);
+                    let (class, width, resent, key, sendable) = (1, 1.0, false, 0, true);
+                    let arrival =
+                        Arrival { request, class, due: now + 5 * S, hint, width, resent, key, sendable };
+                    self.tell(now, node, Event::Arrival(arrival));
+                    let gap = self.rng.i64(MS..500 * MS);
+                    self.due.push(Reverse((now + gap, node, Due::Arrival)));
+                }
+                Due::Started(request, attempt, worker) => {
+                    self.tell(now, node, Event::Started { request, attempt, worker })
+                }
+                Due::Done(request, attempt, worker, took) => {
+                    let (outcome, closed, report) = (Outcome::Ok, true, Vec::new());
+                    self.tell(
+                        now,
+                        node,
+                        Event::Outcome { request, attempt, worker, outcome, took, closed, report },
+                    )
+                }
+                Due::Timer(token) => self.tell(now, node, Event::Timer(token)),
+            }
+        }
+    }
+
+    /// Work sent to these workers within a time.
+    fn work(&self, workers: impl Fn(u32) -> bool, from: Micros, to: Micros) -> f64 {
+        let within = |s: &&(Micros, u32, f64)| workers(s.1) && s.0 >= from && s.0 < to;
+        self.sent.iter().filter(within).map(|s| s.2).sum()
+    }
+}
+
+/// Each node's part of a cold worker's room is less than a job: none may take that for a reason to send it
+/// nothing, and not all may send it the one job.
+#[test]
+fn a_hundred_nodes_share_a_cold_worker_without_a_word() {
+    for cold in [vec![7], (0..WORKERS).filter(|n| n % 5 < 3).collect::<Vec<_>>()] {
+        let mut fleet = Fleet::new();
+        fleet.run(8 * S);
+        for (i, &n) in cold.iter().enumerate() {
+            let at = 8 * S + i as Micros * 200 * MS;
+            fleet.run(at);
+            fleet.restart(at, n);
+        }
+        let last = 8 * S + cold.len() as Micros * 200 * MS;
+        fleet.run(last + 10 * S);
+        let (mut most, mut room) = (0.0_f64, 0.0);
+        for &n in &cold {
+            let born = fleet.born[&n];
+            for at in (born..last + 9 * S).step_by(100_000) {
+                let share = fleet.work(|w| w == n, at, at + S) / (CORES * fleet.warmth(at, n));
+                most = most.max(share);
+            }
+            room += (born + 4 * S..last + 9 * S).step_by(1_000_000).map(|t| fleet.warmth(t, n)).sum::<f64>();
+        }
+        let used: f64 =
+            cold.iter().map(|&n| fleet.work(|w| w == n, fleet.born[&n] + 4 * S, last + 9 * S)).sum();
+        assert!(most < 3.0, "a window of 1 s held {most} times what a worker could do");
+        // One cold worker is the slowest place of an idle fleet, and is rightly left alone at first.
+        let least = if cold.len() > 1 { 0.3 } else { 0.0 };
+        assert!(used >= least * room * CORES, "{used} of {} s of room were used", room * CORES);
+        println!("{} cold: at most {most:.2} times, {used:.0} s of {:.0} s used", cold.len(), room * CORES);
+    }
+}
