Asks for the host group are spread by full jitter, further apart after a refusal

Cause: host_group::watch() paused for a fixed, doubling time, the same at every node, and 1.6 s at most: a queue that overruns stays overrun.

Change: Backoff draws each pause from nothing to a bound, by the node's seed; the bound doubles from 1 to 16 s and is 4 s at least after a refusal, which says that discovery is overrun.

Test: a hundred nodes against an agent that answers ten calls a second, and one that closes at once for 10 s.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::desk::Desk;
-use crate::host_group::{self, HostGroup};
+use crate::host_group::{self, Backoff, HostGroup};
 use crate::job::Job;
 use crate::links::{Descriptors, Links};
 use crate::places::Places;
@@ -42,6 +42,7 @@
     pub counters: Rc<Counters>,
     requests: Rc<Requests>,
     probes: Receiver<WorkerId>,
+    seed: u64,
 }
 
 impl Engine {
@@ -78,7 +79,7 @@
         let entries = ways.host_group.learn(&config.known);
         desk.tell(Event::Members(Members::Cached(entries)));
         let places = Places::new(tasks.clone());
-        Rc::new(Engine { tasks, desk, ways, bodies, places, counters, requests, probes })
+        Rc::new(Engine { tasks, desk, ways, bodies, places, counters, requests, probes, seed: config.seed })
     }
 
     /// Starts what runs as long as the node: the watch on the host group, which goes on from version `seq` at
@@ -112,7 +113,8 @@
     /// Watches the host group, for ever.
     pub async fn watch(&self, discovery: SocketAddr, seq: u64, moved: Receiver<SocketAddr>) {
         let tell = |list: &HostList| self.tell(list);
-        host_group::watch(&self.counters, discovery, seq, moved, tell).await;
+        let backoff = Backoff::new(self.seed);
+        host_group::watch(&self.counters, discovery, seq, moved, backoff, tell).await;
     }
 
     /// Tells the module of a list, and drops the idle links to executors that are gone.
--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -18,8 +18,10 @@
 const LINE_MOST: usize = 1024 * 1024;
 /// A watch says something every 2 s; one that does not is taken to be broken.
 const SILENCE: Duration = Duration::from_secs(3);
-/// The pause before a broken watch is asked for again doubles from the first to the last.
-const PAUSES: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(1600)];
+/// The longest pause before a broken watch is asked for again doubles from the first to the last.
+const PAUSES: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(16)];
+/// The least bound after a refusal: discovery is overrun, and each ask more holds up those that wait.
+const REFUSED: Duration = Duration::from_secs(4);
 
 /// Numbers and addresses of all executors ever named.
 pub struct HostGroup {
@@ -33,6 +35,35 @@
     addresses: Vec<Option<SocketAddr>>,
 }
 
+/// The pauses between asks for the watch: full jitter, each anywhere between nothing and a bound that doubles.
+///
+/// Nodes that are killed together start together. If they also paused alike they would all ask in the same moment
+/// for ever, and discovery, which answers a part of them, would turn the same rest away each time.
+pub struct Backoff {
+    rng: fastrand::Rng,
+    most: Duration,
+}
+
+impl Backoff {
+    /// Begins with the shortest bound; equal seeds give equal pauses.
+    pub fn new(seed: u64) -> Backoff {
+        Backoff { rng: fastrand::Rng::with_seed(seed), most: PAUSES[0] }
+    }
+
+    /// The next pause, 16 s at most; longer where discovery refused to answer.
+    pub fn pause(&mut self, refused: bool) -> Duration {
+        self.most = if refused { self.most.max(REFUSED) } else { self.most };
+        let pause = self.most.mul_f64(self.rng.f64());
+        self.most = (2 * self.most).min(PAUSES[1]);
+        pause
+    }
+
+    /// Begins again with the shortest bound, since a watch has lasted or another agent is asked.
+    pub fn reset(&mut self) {
+        self.most = PAUSES[0];
+    }
+}
+
 /// How one watch ended.
 enum WatchEnd {
     Unreachable,
@@ -97,10 +128,10 @@
     mut discovery: SocketAddr,
     seq: u64,
     moved: Receiver<SocketAddr>,
+    mut backoff: Backoff,
     tell: impl Fn(&HostList),
 ) {
     let mut after = Some(seq);
-    let mut pause = PAUSES[0];
     loop {
         let begun = Instant::now();
         let watch = async {
@@ -114,10 +145,9 @@
                 after = None;
             }
             if begun.elapsed() > 2 * SILENCE {
-                pause = PAUSES[0];
+                backoff.reset();
             }
-            Timer::after(pause).await;
-            pause = (2 * pause).min(PAUSES[1]);
+            Timer::after(backoff.pause(matches!(end, WatchEnd::Refused(_)))).await;
             None
         };
         let to = async {
@@ -129,7 +159,8 @@
         if let Some(address) = or(to, watch).await {
             // Another agent may count its versions in another way: its whole list is asked for.
             info!(%address, "the watch on the host group moves");
-            (discovery, after, pause) = (address, None, PAUSES[0]);
+            (discovery, after) = (address, None);
+            backoff.reset();
         }
     }
 }
--- /dev/null
+++ b/engine/src/tests/backoff.rs
@@ -0,0 +1,64 @@
+//! How a fleet of nodes asks discovery again after the same failure, on a simulated clock.
+
+use crate::host_group::Backoff;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+const NODES: u64 = 100;
+/// What one call takes discovery, and how long a call waits for its turn before it is refused; in milliseconds.
+const CALL: u64 = 100;
+const PATIENCE: u64 = 2_000;
+
+/// When each node got its answer, and the times of all asks, where all watches break at 0.
+fn storm(closes: bool) -> (Vec<u64>, Vec<u64>) {
+    let mut backoffs: Vec<Backoff> = (0..NODES).map(Backoff::new).collect();
+    let mut pause = |node: u64, refused| backoffs[node as usize].pause(refused).as_millis() as u64;
+    let mut due: BinaryHeap<Reverse<(u64, u64)>> =
+        (0..NODES).map(|n| Reverse((pause(n, false), n))).collect();
+    let (mut free, mut got, mut asks) = (0, Vec::new(), Vec::new());
+    while let Some(Reverse((now, node))) = due.pop() {
+        asks.push(now);
+        if closes && now < 10_000 {
+            due.push(Reverse((now + pause(node, false), node)));
+        } else if free > now + PATIENCE {
+            due.push(Reverse((now + pause(node, true), node)));
+        } else {
+            free = free.max(now) + CALL;
+            got.push(free);
+        }
+    }
+    (got, asks)
+}
+
+/// Discovery that can answer ten calls a second is asked by a hundred nodes at once.
+#[test]
+fn a_hundred_nodes_whose_watches_break_together_ask_again_spread_and_each_gets_there() {
+    for closes in [false, true] {
+        let (got, asks) = storm(closes);
+        assert_eq!(got.len() as u64, NODES);
+        let last = got.iter().max().expect("an answer");
+        assert!(*last < 60_000, "the last one waited {last} ms");
+        // A few times as many as it can answer in any second, once the first asks are over.
+        let most = |from: u64| asks.iter().filter(|&&t| (from..from + 1_000).contains(&t)).count();
+        let crowd = (4_000..60_000).step_by(100).map(most).max().expect("a second");
+        assert!(crowd <= 40, "{crowd} asks in one second (closes: {closes})");
+        let at_once =
+            (0..60_000).step_by(10).map(|at| asks.iter().filter(|&&t| (at..at + 10).contains(&t)).count());
+        assert!(at_once.max().expect("a moment") <= 8, "asks in step (closes: {closes})");
+    }
+}
+
+#[test]
+fn equal_seeds_give_equal_pauses_and_none_is_over_its_bound() {
+    let pauses = |seed| {
+        let mut backoff = Backoff::new(seed);
+        (0..12).map(|i| backoff.pause(i > 5)).collect::<Vec<_>>()
+    };
+    assert_eq!(pauses(7), pauses(7));
+    assert_ne!(pauses(7), pauses(8));
+    assert!(pauses(9).iter().all(|p| p.as_secs_f64() <= 16.0));
+    let mut backoff = Backoff::new(3);
+    (0..9).for_each(|_| drop(backoff.pause(true)));
+    backoff.reset();
+    assert!(backoff.pause(false).as_secs_f64() <= 1.0, "a reset begins again");
+}
--- a/engine/src/tests/mod.rs
+++ b/engine/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the network code: connections as models, checked against random steps with a fixed seed.
 
+mod backoff;
 mod endings;
 mod places;
 mod request;
