A key's home is of the kind that runs its class; the cold debt stands in one place

Read over: homes() looked at all workers that take work and passed over the kind that a class is bound to, which rank() checks and the former home got from it.

No behaviour of this site changes with the rest: the debt of a cold worker was worked out in send() and in cold_budget(), and on every send to a warm worker too, where nothing reads it; a set that was due and stale at once was chosen twice; a bound was assigned to itself in Backoff::pause().

--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -52,7 +52,9 @@
 
     /// The next pause, 16 s at most; longer where discovery refused to answer.
     pub fn pause(&mut self, refused: bool) -> Duration {
-        self.most = if refused { self.most.max(REFUSED) } else { self.most };
+        if refused {
+            self.most = self.most.max(REFUSED);
+        }
         let pause = self.most.mul_f64(self.rng.f64());
         self.most = (2 * self.most).min(PAUSES[1]);
         pause
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -419,7 +419,7 @@
 
     /// Ranks the workers for a class again if anything that ranks them has changed.
     fn rank(&mut self, class: usize, now: Micros) {
-        if now >= self.set_until || std::mem::take(&mut self.set_stale) {
+        if std::mem::take(&mut self.set_stale) || now >= self.set_until {
             self.choose_set(now);
             self.change();
         }
@@ -429,8 +429,7 @@
         let mut r: Vec<u32> = self.set.iter().map(|&id| self.worker(id).timeouts).collect();
         r.sort_unstable();
         self.shared_timeouts = r.get(r.len() / 2).copied().unwrap_or(0);
-        let kind = self.settings.classes[class].kind;
-        let fits = |id: &&WorkerId| kind.is_none_or(|k| k == self.worker(**id).entry.kind);
+        let fits = |id: &&WorkerId| self.runs(**id, class);
         let group = if self.set.iter().any(|id| fits(&id)) { &self.set } else { &self.ready };
         let rated = |&id: &WorkerId| (self.penalised(self.worker(id), class, now), id);
         let mut ranked: Vec<(f64, WorkerId)> = group.iter().filter(fits).map(rated).collect();
@@ -619,7 +618,8 @@
         let t_init = (slack / 2.0) as Micros;
         let t = (t_init as f64 * (1.0 - BETA * self.excess(w) as f64)) as Micros;
         let check = (now + t.max(3 * START_GRACE)).min(r.due);
-        let (cost, rate) = (self.cold_cost(r), self.cold_rate(worker, now).1);
+        let cold = self.warmth(w, now) < 1.0;
+        let debt = if cold { self.cold_debt(worker, now).max(0.0) + self.cold_cost(r) } else { 0.0 };
         let Some(r) = self.requests.get_mut(&id) else { return };
         let (request, number, started) = (id, r.attempts, None);
         let Request { class, size, width, wanted, key, .. } = *r;
@@ -632,8 +632,7 @@
         let w = &mut self.workers[worker.0 as usize];
         w.keys.sent(key, kept);
         w.in_flight.push(Attempt { request, number, class, size, width, sent: now, wanted, started });
-        w.cold_debt = (w.cold_debt - (now - w.cold_at) as f64 * rate).max(0.0) + cost;
-        w.cold_at = now;
+        (w.cold_debt, w.cold_at) = (debt, now);
         actions.push(Action::Send { request: id, worker, timeout: 0 });
         self.check_at(id, check);
     }
@@ -848,7 +847,7 @@
         }
         let (capacity, rate) = self.cold_rate(id, now);
         let fall = self.settings.rules.fall as f64;
-        let debt = w.cold_debt - (now - w.cold_at) as f64 * rate;
+        let debt = self.cold_debt(id, now);
         // What it has not got through yet says that it can do less than that.
         let behind =
             w.in_flight.iter().any(|a| (now - a.sent) as f64 > 2.0 * a.size / capacity + START_GRACE as f64);
@@ -860,6 +859,12 @@
         (r.size * r.width).max(self.mean_size * COLD_FLOOR)
     }
 
+    /// What this dispatcher has sent a cold worker beyond its share; below 0 where it has sent less.
+    fn cold_debt(&self, id: WorkerId, now: Micros) -> f64 {
+        let w = self.worker(id);
+        w.cold_debt - (now - w.cold_at) as f64 * self.cold_rate(id, now).1
+    }
+
     /// The present capacity of a cold worker, as work over time, and this dispatcher's share of what all may
     /// send, by how many have it among their N. What its size carries shows in this one's own work.
     fn cold_rate(&self, id: WorkerId, now: Micros) -> (f64, f64) {
@@ -945,9 +950,14 @@
         self.excess(self.worker(id)) == 0
     }
 
-    /// Whether a worker has not turned this class away of late.
+    /// Whether a worker is of the kind that runs this class.
+    fn runs(&self, id: WorkerId, class: usize) -> bool {
+        self.settings.classes[class].kind.is_none_or(|k| k == self.worker(id).entry.kind)
+    }
+
+    /// Whether a worker runs this class and has not turned it away of late.
     fn takes(&self, id: WorkerId, class: usize, now: Micros) -> bool {
-        self.worker(id).full.get(class).is_none_or(|f| f.1 <= now)
+        self.runs(id, class) && self.worker(id).full.get(class).is_none_or(|f| f.1 <= now)
     }
 
     /// Whether one job may try a worker that has failed: nothing else would show that it is back.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -82,6 +82,20 @@
     assert_eq!(used, 12, "each is the home of some: {homes:?}");
 }
 
+/// A key's nearest worker may be of a kind that does not run the class: its home is among those that do.
+#[test]
+fn a_home_is_of_the_kind_that_runs_the_class() {
+    for key in 1..40 {
+        let mut settings = settings();
+        settings.classes[0].kind = Some(1);
+        let mut desk = Desk { dispatcher: Dispatcher::new(settings, 1), next: 0 };
+        let of = |n: u32| Entry { kind: n as usize % 2, ..entry(n) };
+        desk.tell(0, Event::Members(Members::Full((0..12).map(of).collect())));
+        let worker = keyed_arrival(&mut desk, S, key).expect("an idle fleet");
+        assert_eq!(worker.0 % 2, 1, "key {key} went to {worker:?}");
+    }
+}
+
 /// Where its worker is busy, a job waits for it rather than have another worker fetch what it needs.
 #[test]
 fn a_job_waits_for_the_worker_that_has_its_key() {
