--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -37,6 +37,8 @@
     #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
+    ops: Option<String>,
+    #[serde(default)]
     seed: Option<Value>,
     #[serde(default)]
     limits: FileLimits,
@@ -76,6 +78,10 @@
     pub listen: SocketAddr,
     /// Where discovery's agent listens.
     pub discovery: SocketAddr,
+    /// Where the operators call; `None`: nowhere.
+    pub ops: Option<SocketAddr>,
+    /// The descriptor at which the platform hands over the clients' listening socket, if it holds that.
+    pub listen_fd: Option<i32>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Descriptors the process may hold.
@@ -101,7 +107,7 @@
 }
 
 /// The keys of the file that only a restart takes over: the module and the listener live on through a reload.
-const RESTART_KEYS: [&str; 5] = ["name", "listen", "seed", "known", "settings"];
+const RESTART_KEYS: [&str; 6] = ["name", "listen", "ops", "seed", "known", "settings"];
 /// The variable that names the operators' file.
 const OPERATOR: &str = "SORRELHAVEN_OPERATOR";
 /// The fewest descriptors that a node can work with.
@@ -190,6 +196,11 @@
         let name = keep(&mut faults, told("RELAY_NAME", "name", file.name));
         let listen = keep(&mut faults, address(told("RELAY_LISTEN", "listen", file.listen)));
         let discovery = keep(&mut faults, address(told("RELAY_DISCOVERY", "discovery", file.discovery)));
+        let ops = match (env("RELAY_OPS"), file.ops) {
+            (None, None) => None,
+            (_, of_file) => keep(&mut faults, address(told("RELAY_OPS", "ops", of_file))),
+        };
+        let listen_fd = keep(&mut faults, listen_fd(env)).flatten();
         let seed = keep(&mut faults, seed(file.seed));
         if file.limits.sockets < LEAST_SOCKETS {
             faults.push(Error::new("limits.sockets", format!("fewer than {LEAST_SOCKETS}")));
@@ -213,6 +224,8 @@
             name: name.1,
             listen,
             discovery,
+            ops,
+            listen_fd,
             seed,
             sockets: file.limits.sockets,
             memory_mb: file.limits.memory_mb,
@@ -268,6 +281,19 @@
     serde_json::from_str(text).map_err(|e| Error::new("RELAY_CONFIG", e))
 }
 
+/// The descriptor at which the platform hands over the clients' listening socket, by `RELAY_FD`; `None` where the node
+/// is to listen by itself.
+///
+/// # Errors
+/// `RELAY_FD` is no number of a descriptor.
+pub fn listen_fd(env: &impl Fn(&str) -> Option<String>) -> Result<Option<i32>, Error> {
+    let Some(text) = env("RELAY_FD") else { return Ok(None) };
+    let number = text.parse::<i32>().ok().filter(|n| *n >= 0);
+    number
+        .map(Some)
+        .ok_or_else(|| Error::new("RELAY_FD", format!("{text:?} is not the number of a descriptor")))
+}
+
 /// The seed is written in hexadecimal digits, or as a plain number.
 fn seed(value: Option<Value>) -> Result<u64, Error> {
     match value {
--- a/engine/src/counters.rs
+++ b/engine/src/counters.rs
@@ -19,21 +19,31 @@
     }
 }
 
-/// All counts since the start.
+/// The counts of one class since the start.
 #[derive(Default)]
-pub struct Counters {
+pub struct ClassCounters {
     /// Requests taken.
     pub taken: Count,
     /// Answered with an executor's result.
     pub served: Count,
     /// Answered with a throttle.
     pub throttled: Count,
-    /// Answered as failed.
+    /// Answered as failed, or ended without an answer by the node's own fault.
     pub failed: Count,
     /// Clients that left before their answer.
     pub lapsed: Count,
+}
+
+/// All counts since the start. A request is taken, and later one of served, throttled, failed or lapsed; until then it
+/// is in progress.
+#[derive(Default)]
+pub struct Counters {
+    classes: Vec<(String, ClassCounters)>,
+    in_progress: Cell<u64>,
     /// Executions begun.
     pub sent: Count,
+    /// Executions whose last byte was written.
+    pub written: Count,
     /// Server links opened.
     pub server_links: Count,
     /// Probes begun.
@@ -45,7 +55,59 @@
     outcomes: [Count; 9],
 }
 
+/// How a request ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With an executor's result.
+    Served,
+    /// With a throttle.
+    Throttled,
+    /// As failed.
+    Failed,
+    /// Its client left.
+    Lapsed,
+}
+
 impl Counters {
+    /// Counts by these classes, in this order.
+    pub fn new(classes: impl IntoIterator<Item = String>) -> Counters {
+        let classes = classes.into_iter().map(|name| (name, ClassCounters::default())).collect();
+        Counters { classes, ..Counters::default() }
+    }
+
+    /// The counts of each class with its name, in the order of the settings.
+    pub fn classes(&self) -> impl Iterator<Item = (&str, &ClassCounters)> {
+        self.classes.iter().map(|(name, counts)| (name.as_str(), counts))
+    }
+
+    /// Requests taken that have not ended.
+    pub fn in_progress(&self) -> u64 {
+        self.in_progress.get()
+    }
+
+    /// Counts a request that is taken.
+    pub fn took(&self, class: usize) {
+        self.in_progress.set(self.in_progress.get() + 1);
+        self.classes.get(class).into_iter().for_each(|(_, c)| c.taken.add());
+    }
+
+    /// Counts how a request that was taken ends.
+    pub fn gave(&self, class: usize, end: End) {
+        self.in_progress.set(self.in_progress.get() - 1);
+        let Some((_, counts)) = self.classes.get(class) else { return };
+        match end {
+            End::Served => counts.served.add(),
+            End::Throttled => counts.throttled.add(),
+            End::Failed => counts.failed.add(),
+            End::Lapsed => counts.lapsed.add(),
+        }
+    }
+
+    /// One count over all classes.
+    pub fn total(&self, count: impl Fn(&ClassCounters) -> &Count) -> u64 {
+        self.classes.iter().map(|(_, class)| count(class).get()).sum()
+    }
+
     /// Counts how an execution ended.
     pub fn ended(&self, outcome: Outcome) {
         self.outcomes[place(outcome)].add();
@@ -73,15 +135,17 @@
     /// All counts with their names, in the order in which they are shown.
     pub fn figures(&self) -> Vec<(&'static str, u64)> {
         let mut figures = vec![
-            ("taken", self.taken.get()),
-            ("served", self.served.get()),
-            ("throttled", self.throttled.get()),
-            ("failed", self.failed.get()),
-            ("lapsed", self.lapsed.get()),
+            ("taken", self.total(|c| &c.taken)),
+            ("served", self.total(|c| &c.served)),
+            ("throttled", self.total(|c| &c.throttled)),
+            ("failed", self.total(|c| &c.failed)),
+            ("lapsed", self.total(|c| &c.lapsed)),
+            ("in_progress", self.in_progress()),
             ("sent", self.sent.get()),
         ];
         figures.extend(OUTCOMES.iter().zip(&self.outcomes).map(|(name, count)| (*name, count.get())));
         figures.extend([
+            ("written", self.written.get()),
             ("server_links", self.server_links.get()),
             ("probes", self.probes.get()),
             ("lists", self.lists.get()),
--- a/engine/src/desk.rs
+++ b/engine/src/desk.rs
@@ -10,7 +10,7 @@
 use futures_lite::future::or;
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
-use stepusher::{Action, Dispatcher, Event, Micros, RequestId, Settings, WorkerId};
+use stepusher::{Action, Census, Dispatcher, Event, Micros, RequestId, Settings, WorkerId};
 use tracing::{debug, info, warn};
 
 /// When a timer falls due, and its token.
@@ -61,6 +61,11 @@
         self.state.borrow().requests.len()
     }
 
+    /// How the module regards the executors in its list now.
+    pub fn census(&self) -> Census {
+        self.state.borrow().dispatcher.census(self.clock.now())
+    }
+
     /// Feeds the dispatcher one event and routes what it does about it.
     pub fn tell(&self, event: Event) {
         let now = self.clock.now();
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -55,7 +55,8 @@
             0 => CONNECT_LIMIT,
             t => micros(t),
         };
-        let (tasks, counters) = (Rc::<Tasks>::default(), Rc::<Counters>::default());
+        let classes = config.classes.iter().map(|c| c.name.clone());
+        let (tasks, counters) = (Rc::<Tasks>::default(), Rc::new(Counters::new(classes)));
         let desk = Rc::new(Desk::new(config.settings.clone(), config.seed, Clock::start(), ask));
         let descriptors = Descriptors::new(config.sockets);
         let ways = Rc::new(Ways {
--- a/engine/src/execution.rs
+++ b/engine/src/execution.rs
@@ -79,6 +79,7 @@
         Ok(link) => link,
         Err(ending) => return end(ending),
     };
+    ways.counters.written.add();
     if parcel.body.length().is_none_or(|length| length > BLOCK as u64) {
         report(Mail::Written { attempt });
     }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -45,7 +45,7 @@
 mod ways;
 
 pub use clock::Clock;
-pub use counters::{Count, Counters};
+pub use counters::{ClassCounters, Count, Counters, End};
 pub use desk::Desk;
 pub use ending::Ending;
 pub use engine::Engine;
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing here knows how the client speaks: a front hands in a [`Job`] and gets one [`Answer`].
 
-use crate::counters::Counters;
+use crate::counters::{Counters, End};
 use crate::desk::Desk;
 use crate::ending::Ending;
 use crate::execution;
@@ -66,10 +66,11 @@
         }
         let (mail, inbox) = async_channel::unbounded();
         let (reply, answer) = async_channel::bounded(1);
-        self.counters.taken.add();
+        self.counters.took(job.class);
         let life = Life {
             requests: self.clone(),
             id: self.desk.open(mail.clone()),
+            class: job.class,
             name,
             mail: mail.clone(),
             reply,
@@ -85,6 +86,7 @@
 struct Life {
     requests: Rc<Requests>,
     id: RequestId,
+    class: usize,
     name: Rc<str>,
     mail: Sender<Mail>,
     reply: Sender<Answer>,
@@ -147,7 +149,7 @@
                 Mail::Left => {
                     if !std::mem::replace(&mut self.answered, true) {
                         self.place = None;
-                        self.requests.counters.lapsed.add();
+                        self.requests.counters.gave(self.class, End::Lapsed);
                         self.requests.desk.tell(Event::Lapsed(request));
                     }
                 }
@@ -190,12 +192,12 @@
     fn answer(&mut self, answer: Answer) {
         if !std::mem::replace(&mut self.answered, true) {
             self.place = None;
-            let counters = &self.requests.counters;
-            match answer {
-                Answer::Served(_) => counters.served.add(),
-                Answer::Throttled { .. } => counters.throttled.add(),
-                Answer::Failed => counters.failed.add(),
-            }
+            let end = match answer {
+                Answer::Served(_) => End::Served,
+                Answer::Throttled { .. } => End::Throttled,
+                Answer::Failed => End::Failed,
+            };
+            self.requests.counters.gave(self.class, end);
             let _ = self.reply.try_send(answer);
         }
     }
@@ -203,6 +205,10 @@
 
 impl Drop for Life {
     fn drop(&mut self) {
+        if !self.answered {
+            // The client hears of a fault of the node's own.
+            self.requests.counters.gave(self.class, End::Failed);
+        }
         self.requests.desk.close(self.id);
         self.requests.open_ids.borrow_mut().remove(&self.name);
     }
--- a/engine/src/tasks.rs
+++ b/engine/src/tasks.rs
@@ -26,11 +26,17 @@
         self.ordinary.spawn(task)
     }
 
-    /// Starts a task that goes before all others whenever it can run: news of draining boxes and births.
+    /// Starts a task that goes before all others whenever it can run: news of draining boxes and births,
+    /// and the operators' calls.
     pub fn spawn_urgent(&self, task: impl Future<Output = ()> + 'static) {
         self.urgent.spawn(task).detach();
     }
 
+    /// Starts a task that goes before all others, and ends when what it returns is dropped.
+    pub fn hold_urgent(&self, task: impl Future<Output = ()> + 'static) -> Task<()> {
+        self.urgent.spawn(task)
+    }
+
     /// Waits until nothing else has anything to do, or for long enough: between the pieces of large bodies, so that
     /// however many there are, a small job waits for one piece at most.
     pub async fn turn(&self) {
--- a/front/http1/src/accept.rs
+++ b/front/http1/src/accept.rs
@@ -25,8 +25,22 @@
     Ok(listener)
 }
 
-/// Accepts client links until `stop` and then what still waits in the listener's queue.
-pub async fn accept(front: Rc<Front>, listener: Async<TcpListener>, stop: impl Future<Output = ()>) {
+/// Whose listener it is, and so what becomes of its queue when this node accepts no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Queue {
+    /// This process's alone: what waits in it would be refused, so it is taken.
+    Own,
+    /// Shared with another process, which takes what waits.
+    Shared,
+}
+
+/// Accepts client links until `stop` and then, where the queue is its own, what still waits in that.
+pub async fn accept(
+    front: Rc<Front>,
+    listener: Async<TcpListener>,
+    queue: Queue,
+    stop: impl Future<Output = ()>,
+) {
     let forever = async {
         let mut refused = false;
         loop {
@@ -53,7 +67,8 @@
         }
     };
     or(forever, stop).await;
-    while let Ok((stream, _)) = listener.get_ref().accept()
+    while queue == Queue::Own
+        && let Ok((stream, _)) = listener.get_ref().accept()
         && let Some(permit) = front.links().permit()
         && let Ok(stream) = Async::new(stream)
     {
--- a/front/http1/src/front.rs
+++ b/front/http1/src/front.rs
@@ -1,10 +1,14 @@
 //! What the client links of one front share.
 
 use event_listener::Event;
+use futures_lite::future::or;
 use sorrelhaven_config::{ClassName, Config};
 use sorrelhaven_engine::{Count, Engine, Links};
+use sorrelhaven_lifecycle::{Lifecycle, Standing};
+use sorrelhaven_wire::by;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// What this front has taken in, beside the engine's counts.
 #[derive(Default)]
@@ -40,12 +44,15 @@
     pub(crate) close_silent: Event,
     /// A client link has ended.
     pub(crate) link_freed: Event,
-    closing: Cell<bool>,
+    /// Client links that stand idle are to end now.
+    pub(crate) leave: Event,
+    /// What the node is.
+    pub(crate) standing: Rc<Standing>,
 }
 
 impl Front {
-    /// A front that hands its jobs to `engine`.
-    pub fn new(engine: Rc<Engine>, config: &Config) -> Rc<Front> {
+    /// A front that hands its jobs to `engine` and asks `standing` whether clients are wanted.
+    pub fn new(engine: Rc<Engine>, config: &Config, standing: Rc<Standing>) -> Rc<Front> {
         Rc::new(Front {
             engine,
             classes: config.classes.clone(),
@@ -55,15 +62,56 @@
             close_idle: Event::new(),
             close_silent: Event::new(),
             link_freed: Event::new(),
-            closing: Cell::new(false),
+            leave: Event::new(),
+            standing,
         })
     }
 
-    /// From now on client links end between requests.
-    pub fn close(&self) {
-        self.closing.set(true);
-        self.close_idle.notify(usize::MAX);
-        self.close_silent.notify(usize::MAX);
+    /// Ends the client links that stand idle whenever the node has emptied for so long, for ever.
+    pub async fn send_away(&self) {
+        loop {
+            let change = self.standing.change();
+            let Some(at) = self.standing.look(Lifecycle::idle_until) else {
+                change.await;
+                continue;
+            };
+            if by(at, change).await.is_none() {
+                let change = self.standing.change();
+                self.leave.notify(usize::MAX);
+                change.await;
+            }
+        }
+    }
+
+    /// What comes of `work`, which reads a request whose first byte could come at `first`; `None` where that takes
+    /// longer than `until`, or than a node that empties can wait.
+    pub(crate) async fn whole<T>(
+        &self,
+        first: Instant,
+        until: Instant,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        or(by(until, work), async {
+            self.hurry(first).await;
+            None
+        })
+        .await
+    }
+
+    /// Waits until a node that empties can wait no longer for a request whose first byte could come at `first`. One
+    /// that comes later is none of those that it waits for.
+    pub(crate) async fn hurry(&self, first: Instant) {
+        loop {
+            let change = self.standing.change();
+            match self.standing.look(Lifecycle::whole_by).filter(|by| *by > first) {
+                None => change.await,
+                Some(at) => {
+                    if by(at, change).await.is_none() {
+                        return;
+                    }
+                }
+            }
+        }
     }
 
     /// Client links that are open.
@@ -71,9 +119,9 @@
         self.client_links.get()
     }
 
-    /// Whether the node is about to end.
-    pub(crate) fn closing(&self) -> bool {
-        self.closing.get()
+    /// Whether each answer is to end its client link.
+    pub(crate) fn empties(&self) -> bool {
+        self.standing.look(Lifecycle::empties)
     }
 
     /// The server links, which share the descriptors.
--- a/front/http1/src/lib.rs
+++ b/front/http1/src/lib.rs
@@ -6,13 +6,15 @@
 //! ```no_run
 //! use sorrelhaven_config::Config;
 //! use sorrelhaven_engine::Engine;
-//! use sorrelhaven_front_http1::{Front, accept, listen};
+//! use sorrelhaven_front_http1::{Front, Queue, accept, listen};
+//! use sorrelhaven_lifecycle::Standing;
+//! use std::rc::Rc;
 //!
 //! let config = Config::load(|name| std::env::var(name).ok())?;
 //! let engine = Engine::new(&config, None);
-//! let front = Front::new(engine.clone(), &config);
+//! let front = Front::new(engine.clone(), &config, Rc::<Standing>::default());
 //! let listener = listen(config.listen)?;
-//! engine.tasks.spawn(accept(front, listener, std::future::pending()));
+//! engine.tasks.spawn(accept(front, listener, Queue::Own, std::future::pending()));
 //! async_io::block_on(engine.tasks.run());
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
@@ -24,5 +26,5 @@
 mod read;
 mod response;
 
-pub use accept::{accept, listen};
+pub use accept::{Queue, accept, listen};
 pub use front::{Counters, Front};
--- a/front/http1/src/link.rs
+++ b/front/http1/src/link.rs
@@ -27,7 +27,7 @@
     let mut silent = Some(front.close_silent.listen());
     while arrives(front, link, accepted + WHOLE, &mut silent).await {
         let first = if silent.is_some() { accepted } else { Instant::now() };
-        let read = or(by(first + WHOLE, read(front, link)), async {
+        let read = or(front.whole(first, first + WHOLE, read(front, link)), async {
             unwanted(&mut silent).await;
             Some(Err(Fault::Closed))
         });
@@ -35,7 +35,8 @@
             None => Some((Response::fault(408, "the request came too slowly"), false)),
             Some(Err(fault)) => unread(fault).map(|response| (response, false)),
             Some(Ok(Read { asked: Err(response), body, expects, keeps_alive })) => {
-                let dropped = or(by(first + WHOLE, drop_body(link, body, expects)), async {
+                let dropped = front.whole(first, first + WHOLE, drop_body(link, body, expects));
+                let dropped = or(dropped, async {
                     unwanted(&mut silent).await;
                     Some(Err(Fault::Closed))
                 });
@@ -57,7 +58,7 @@
             front.counters.malformed.add();
             debug!(response.status, body = %String::from_utf8_lossy(&response.body), "not taken");
         }
-        response.close |= !keeps_alive || front.closing();
+        response.close |= !keeps_alive || front.empties();
         let bytes = response.bytes();
         if by(Instant::now() + SLOW_READER, link.write(&bytes)).await != Some(Ok(())) {
             return;
@@ -126,8 +127,11 @@
     }
     let intake = Intake { body, writer, first, due };
     let came = or(intake.keep(front, link), async {
-        unwanted(silent).await;
-        Came::Ended(End::ClientBroke)
+        or(async { (unwanted(silent).await, End::ClientBroke).1 }, async {
+            (front.hurry(first).await, End::TooSlow).1
+        })
+        .await
+        .into()
     });
     let intake = match came.await {
         Came::Whole => None,
@@ -215,13 +219,17 @@
         return true;
     }
     let until = if silent.is_some() { hurry } else { Instant::now() + IDLE };
+    let leave = front.leave.listen();
     let close = async {
         // What has come before the node closes is still read.
-        if !front.closing() {
-            match silent {
-                Some(asked) => asked.await,
-                None => front.close_idle.listen().await,
-            }
+        if !front.standing.look(|node| node.closed(Instant::now())) {
+            let gives_way = async {
+                match silent {
+                    Some(asked) => asked.await,
+                    None => front.close_idle.listen().await,
+                }
+            };
+            or(gives_way, leave).await;
         }
         false
     };
--- a/front/http1/src/read.rs
+++ b/front/http1/src/read.rs
@@ -4,6 +4,7 @@
 use crate::response::Response;
 use sorrelhaven_bodies::Spool;
 use sorrelhaven_engine::{Job, Parcel, Place};
+use sorrelhaven_lifecycle::Lifecycle;
 use sorrelhaven_wire::{Body, Fault, Head, Link, Start};
 use std::rc::Rc;
 use stepusher::Micros;
@@ -76,8 +77,7 @@
     };
     match (target.split('?').next().unwrap_or_default(), method.as_str()) {
         ("/health/ready", "GET") => {
-            // The listener opens only once the list is loaded; a node that closes wants no new clients.
-            return Err(Response::new(if front.closing() { 503 } else { 200 }));
+            return Err(Response::new(if front.standing.look(Lifecycle::ready) { 200 } else { 503 }));
         }
         ("/health/ready", _) => return Err(Response { allow: Some("GET"), ..Response::new(405) }),
         ("/api", "POST") => {}
--- a/front/http1/tests/client_link.rs
+++ b/front/http1/tests/client_link.rs
@@ -5,11 +5,14 @@
 use proptest::prelude::*;
 use sorrelhaven_config::Config;
 use sorrelhaven_engine::Engine;
-use sorrelhaven_front_http1::{Front, accept};
+use sorrelhaven_front_http1::{Front, Queue, accept};
+use sorrelhaven_lifecycle::Standing;
 use sorrelhaven_standins::{check, one_box};
 use sorrelhaven_wire::{Head, Start};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Instant;
 
 const API: &str = "POST /api HTTP/1.1\r\nRequest-Id: r\r\nRequest-Class: fee\r\n";
 
@@ -75,7 +78,9 @@
         let config = one_box("127.0.0.1:1".parse().expect("an address"), "at_most_once");
         let config = Config::parse(&config, |_| None).expect("a configuration");
         let engine = Engine::new(&config, None);
-        let front = Front::new(engine.clone(), &config);
+        let standing = Rc::<Standing>::default();
+        standing.loaded(Instant::now());
+        let front = Front::new(engine.clone(), &config, standing);
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let client = std::thread::spawn(move || {
@@ -96,7 +101,7 @@
             got
         });
         let listener = Async::new(listener)?;
-        let serve = accept(front, listener, async { _ = stop.recv().await });
+        let serve = accept(front, listener, Queue::Own, async { _ = stop.recv().await });
         async_io::block_on(or(serve, async { match engine.tasks.run().await {} }));
         let got = waiter.join().expect("the client's answers");
         prop_assert_eq!(statuses(&got), expected);
--- /dev/null
+++ b/lifecycle/src/lib.rs
@@ -0,0 +1,176 @@
+//! What a node is: starting, serving, drained or stopping; and what that means for its clients.
+//!
+//! [`Lifecycle`] is the one place that knows. It does no I/O and reads no clock: calls and signals go in with the time
+//! at which they came, and each has an answer in every state.
+//!
+//! ```
+//! use sorrelhaven_lifecycle::{Call, Lifecycle, Phase, Reply};
+//! use std::time::Instant;
+//!
+//! let now = Instant::now();
+//! let mut node = Lifecycle::default();
+//! assert_eq!(node.call(Call::Ready, now), Reply::No("starting"));
+//! node.loaded(now);
+//! assert_eq!(node.call(Call::Ready, now), Reply::Yes("serving"));
+//! assert_eq!(node.call(Call::Drain, now), Reply::Yes("drained"));
+//! assert_eq!(node.phase(), Phase::Drained { since: now });
+//! assert_eq!(node.call(Call::Resume, now), Reply::Yes("serving"));
+//! ```
+
+mod standing;
+
+pub use standing::Standing;
+
+use std::time::{Duration, Instant};
+
+/// A client link that stands idle so long after a drain began is closed. 0.2 s after the first no nobody new comes,
+/// and a link that is used before then ends with its answer; a job that came 2 s after the call would be held against
+/// the node.
+const DRAIN_IDLE: Duration = Duration::from_millis(1_500);
+/// A request that was begun must be whole so long after a drain began: a job must not come 2 s after the call.
+const DRAIN_WHOLE: Duration = Duration::from_millis(1_900);
+/// After SIGTERM clients may still come for 0.4 s; the rest is a margin. What comes later than 0.7 s after it might
+/// find the node killed before its answer.
+const STOP_IDLE: Duration = Duration::from_millis(550);
+
+/// What the node is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It can't serve yet.
+    Starting {
+        /// A drain was asked for meanwhile: it is to be drained as soon as it can serve.
+        drain: bool,
+    },
+    /// It takes clients.
+    Serving,
+    /// The operators have emptied it; it can take clients again.
+    Drained {
+        /// When they called.
+        since: Instant,
+    },
+    /// It was told to end.
+    Stopping {
+        /// When it was told.
+        since: Instant,
+    },
+}
+
+/// What the operators call for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether the node wants clients.
+    Ready,
+    /// Empty the node.
+    Drain,
+    /// Take clients again.
+    Resume,
+}
+
+/// The answer to a call, with what holds from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It is so.
+    Yes(&'static str),
+    /// It is not so.
+    No(&'static str),
+}
+
+/// The state of one node.
+#[derive(Debug)]
+pub struct Lifecycle(Phase);
+
+impl Default for Lifecycle {
+    /// A node that starts.
+    fn default() -> Lifecycle {
+        Lifecycle(Phase::Starting { drain: false })
+    }
+}
+
+impl Lifecycle {
+    /// What the node is.
+    pub fn phase(&self) -> Phase {
+        self.0
+    }
+
+    /// The node can serve.
+    pub fn loaded(&mut self, now: Instant) {
+        self.0 = match self.0 {
+            Phase::Starting { drain: true } => Phase::Drained { since: now },
+            Phase::Starting { drain: false } => Phase::Serving,
+            phase @ (Phase::Serving | Phase::Drained { .. } | Phase::Stopping { .. }) => phase,
+        };
+    }
+
+    /// The node was told to end.
+    pub fn stop(&mut self, now: Instant) {
+        self.0 = match self.0 {
+            Phase::Starting { .. } | Phase::Serving | Phase::Drained { .. } => Phase::Stopping { since: now },
+            phase @ Phase::Stopping { .. } => phase,
+        };
+    }
+
+    /// Does what the operators call for, and says what holds.
+    pub fn call(&mut self, call: Call, now: Instant) -> Reply {
+        let (phase, reply) = match (call, self.0) {
+            (Call::Ready, phase @ Phase::Starting { .. }) => (phase, Reply::No("starting")),
+            (Call::Ready, Phase::Serving) => (Phase::Serving, Reply::Yes("serving")),
+            (Call::Ready, phase @ Phase::Drained { .. }) => (phase, Reply::No("drained")),
+            (Call::Ready, phase @ Phase::Stopping { .. }) => (phase, Reply::No("stopping")),
+            (Call::Drain, Phase::Starting { .. }) => {
+                (Phase::Starting { drain: true }, Reply::Yes("starting, to be drained once up"))
+            }
+            (Call::Drain, Phase::Serving) => (Phase::Drained { since: now }, Reply::Yes("drained")),
+            (Call::Drain, phase @ Phase::Drained { .. }) => (phase, Reply::Yes("drained already")),
+            (Call::Drain, phase @ Phase::Stopping { .. }) => {
+                (phase, Reply::Yes("stopping, it empties for good"))
+            }
+            (Call::Resume, Phase::Starting { drain: true }) => {
+                (Phase::Starting { drain: false }, Reply::Yes("starting, to serve once up"))
+            }
+            (Call::Resume, phase @ Phase::Starting { drain: false }) => {
+                (phase, Reply::Yes("starting, to serve once up"))
+            }
+            (Call::Resume, Phase::Serving) => (Phase::Serving, Reply::Yes("serving already")),
+            (Call::Resume, Phase::Drained { .. }) => (Phase::Serving, Reply::Yes("serving")),
+            (Call::Resume, phase @ Phase::Stopping { .. }) => (phase, Reply::No("stopping")),
+        };
+        self.0 = phase;
+        reply
+    }
+
+    /// Whether clients are wanted.
+    pub fn ready(&self) -> bool {
+        self.0 == Phase::Serving
+    }
+
+    /// Whether the node empties: each answer ends its client link.
+    pub fn empties(&self) -> bool {
+        match self.0 {
+            Phase::Drained { .. } | Phase::Stopping { .. } => true,
+            Phase::Starting { .. } | Phase::Serving => false,
+        }
+    }
+
+    /// From when on a client link that stands idle is closed; `None` where it may stand.
+    pub fn idle_until(&self) -> Option<Instant> {
+        match self.0 {
+            Phase::Drained { since } => Some(since + DRAIN_IDLE),
+            Phase::Stopping { since } => Some(since + STOP_IDLE),
+            Phase::Starting { .. } | Phase::Serving => None,
+        }
+    }
+
+    /// Whether links on which nothing has come are over: the node has been told to end and clients have had their time.
+    pub fn closed(&self, now: Instant) -> bool {
+        matches!(self.0, Phase::Stopping { since } if now >= since + STOP_IDLE)
+    }
+
+    /// By when a request that has begun must be whole, whatever else it must keep to.
+    pub fn whole_by(&self) -> Option<Instant> {
+        match self.0 {
+            Phase::Drained { since } => Some(since + DRAIN_WHOLE),
+            // What has begun before idle links are closed is still read.
+            Phase::Stopping { .. } | Phase::Starting { .. } | Phase::Serving => None,
+        }
+    }
+}
--- /dev/null
+++ b/lifecycle/tests/table.rs
@@ -0,0 +1,131 @@
+//! Every call and signal in every state, and any of them in any order.
+
+use proptest::prelude::*;
+use sorrelhaven_lifecycle::{Call, Lifecycle, Phase, Reply};
+use sorrelhaven_standins::check;
+use std::time::{Duration, Instant};
+
+/// A node brought to each of its states, and what it is called.
+fn states(now: Instant) -> Vec<(&'static str, Lifecycle)> {
+    let made = |steps: &[fn(&mut Lifecycle, Instant)]| {
+        let mut node = Lifecycle::default();
+        steps.iter().for_each(|step| step(&mut node, now));
+        node
+    };
+    let drain: fn(&mut Lifecycle, Instant) = |node, now| _ = node.call(Call::Drain, now);
+    vec![
+        ("starting", made(&[])),
+        ("starting, drain asked", made(&[drain])),
+        ("serving", made(&[Lifecycle::loaded])),
+        ("drained", made(&[Lifecycle::loaded, drain])),
+        ("stopping", made(&[Lifecycle::loaded, Lifecycle::stop])),
+    ]
+}
+
+/// Each cell of the page's table: the answer, and the state after it.
+#[test]
+fn each_call_has_its_answer_in_each_state() {
+    let (then, now) = (Instant::now(), Instant::now() + Duration::from_secs(9));
+    let starting = |drain| Phase::Starting { drain };
+    let (drained, stopping) = (Phase::Drained { since: then }, Phase::Stopping { since: then });
+    let table = [
+        (
+            Call::Ready,
+            [
+                (false, starting(false)),
+                (false, starting(true)),
+                (true, Phase::Serving),
+                (false, drained),
+                (false, stopping),
+            ],
+        ),
+        (
+            Call::Drain,
+            [
+                (true, starting(true)),
+                (true, starting(true)),
+                (true, Phase::Drained { since: now }),
+                (true, drained),
+                (true, stopping),
+            ],
+        ),
+        (
+            Call::Resume,
+            [
+                (true, starting(false)),
+                (true, starting(false)),
+                (true, Phase::Serving),
+                (true, Phase::Serving),
+                (false, stopping),
+            ],
+        ),
+    ];
+    for (call, cells) in table {
+        for ((name, mut node), (yes, phase)) in states(then).into_iter().zip(cells) {
+            let reply = node.call(call, now);
+            assert_eq!(matches!(reply, Reply::Yes(_)), yes, "{call:?} while {name}: {reply:?}");
+            assert_eq!(node.phase(), phase, "{call:?} while {name}");
+        }
+    }
+}
+
+#[test]
+fn a_drain_asked_for_before_the_node_is_up_holds_from_then_on() {
+    let now = Instant::now();
+    let mut node = Lifecycle::default();
+    node.call(Call::Drain, now);
+    let up = now + Duration::from_secs(5);
+    node.loaded(up);
+    assert_eq!(node.phase(), Phase::Drained { since: up }, "its links count from when they could come");
+    node.call(Call::Resume, up);
+    assert!(node.ready() && !node.empties() && node.idle_until().is_none() && node.whole_by().is_none());
+}
+
+/// The page's bounds: 4 s after the call nothing idle is held and no job is younger than 2 s, so requests end before
+/// 2 s, idle links before those; and nobody is sent away before the front has heard (0.1 s to ask, 0.2 s to stop).
+#[test]
+fn a_drain_leaves_time_to_be_heard_and_ends_in_time() {
+    let now = Instant::now();
+    let mut node = Lifecycle::default();
+    node.loaded(now);
+    node.call(Call::Drain, now);
+    let (idle, whole) = (node.idle_until().expect("a time"), node.whole_by().expect("a time"));
+    assert!(idle - now >= Duration::from_millis(500), "{:?}", idle - now);
+    assert!(idle < whole && whole - now < Duration::from_secs(2), "{:?}", whole - now);
+    // Another drain does not put it off, nor does a SIGTERM in its midst.
+    node.call(Call::Drain, now + Duration::from_secs(1));
+    assert_eq!(node.idle_until(), Some(idle));
+    node.stop(now + Duration::from_millis(100));
+    assert!(node.idle_until().expect("a time") < idle);
+}
+
+/// In any order: ready is said only by one that serves, stopping is for good, and emptying is not ready.
+#[test]
+fn any_order_of_calls_keeps_to_the_table() {
+    check(256, prop::collection::vec(0usize..5, 0..24), |steps| {
+        let start = Instant::now();
+        let (mut node, mut up, mut drained, mut stopped) = (Lifecycle::default(), false, false, false);
+        for (i, step) in steps.into_iter().enumerate() {
+            let now = start + Duration::from_millis(i as u64);
+            match step {
+                0 => (node.loaded(now), up = true).1,
+                1 => (node.stop(now), stopped = true).1,
+                2 => _ = node.call(Call::Drain, now),
+                3 => _ = node.call(Call::Resume, now),
+                _ => {
+                    let yes = matches!(node.call(Call::Ready, now), Reply::Yes(_));
+                    prop_assert_eq!(yes, node.ready());
+                }
+            }
+            match step {
+                2 if !stopped => drained = true,
+                3 if !stopped => drained = false,
+                _ => {}
+            }
+            prop_assert_eq!(node.ready(), up && !drained && !stopped);
+            prop_assert_eq!(node.empties(), stopped || up && drained);
+            prop_assert_eq!(node.idle_until().is_some(), node.empties());
+        }
+        Ok(())
+    });
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,7 +3,7 @@
 mod check;
 mod cli;
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use clap::Parser;
@@ -13,18 +13,17 @@
 use sorrelhaven_bodies::{Directory, Disk};
 use sorrelhaven_config::{Config, Operator};
 use sorrelhaven_engine::Engine;
-use sorrelhaven_front_http1::{self as front, Front};
+use sorrelhaven_front_http1::{self as front, Front, Queue};
+use sorrelhaven_lifecycle::{Lifecycle, Phase, Standing};
+use sorrelhaven_ops as ops;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::{info, warn};
 use tracing_subscriber::EnvFilter;
 
-/// After SIGTERM clients may still come for 0.4 s; the rest is a margin. What comes later than 0.7 s after it
-/// might find the node killed before its answer.
-const LAST_CLIENTS: Duration = Duration::from_millis(550);
 /// How often a closing node looks whether all is answered.
 const CLOSING_LOOK: Duration = Duration::from_millis(20);
 
@@ -36,6 +35,11 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let env = cli.env();
+    // Before any other descriptor is opened: one of them could get the number of one that was not handed over.
+    let inherited = match cli.command() {
+        Command::Run => inherited(&env),
+        Command::Check { .. } | Command::Schema => Ok(None),
+    };
     // A write that meets a bound on the size of files fails with a word of its own; it must not end the program.
     let _bound_on_files = Signals::new([Signal::Xfsz]);
     match cli.command() {
@@ -71,7 +75,8 @@
                     return ExitCode::FAILURE;
                 }
             };
-            match run(config, env, cli.common.log_format) {
+            let format = cli.common.log_format;
+            match inherited.and_then(|listener| run(config, listener, env, format)) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(message) => {
                     eprintln!("sorrelhaven: {message}");
@@ -82,6 +87,13 @@
     }
 }
 
+/// The clients' listening socket where the platform holds it.
+fn inherited(env: &impl Fn(&str) -> Option<String>) -> Result<Option<TcpListener>, String> {
+    let number = sorrelhaven_config::listen_fd(env).map_err(|fault| fault.to_string())?;
+    let listener = number.map(sorrelhaven_inherit::listener).transpose();
+    listener.map_err(|fault| format!("RELAY_FD: {fault}"))
+}
+
 /// Sets up the log on standard error.
 fn log(common: &Common) -> Result<(), String> {
     let filter = match &common.log {
@@ -98,6 +110,7 @@
 
 fn run(
     config: Config,
+    inherited: Option<TcpListener>,
     env: impl Fn(&str) -> Option<String> + 'static,
     format: LogFormat,
 ) -> Result<(), String> {
@@ -106,19 +119,35 @@
     let (listen, discovery, seq) = (config.listen, config.discovery, config.known.seq);
     let disk = disk(&config)?;
     let engine = Engine::new(&config, disk);
-    let front = Front::new(engine.clone(), &config);
-    let listener = front::listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let standing = Rc::<Standing>::default();
+    let front = Front::new(engine.clone(), &config, standing.clone());
+    // The operators are answered from here on.
+    let ops = match config.ops {
+        Some(at) => Some(ops::listen(at).map_err(|e| format!("ops: {at}: {e}"))?),
+        None => None,
+    };
+    let (listener, queue) = match inherited {
+        Some(listener) => (Async::new(listener).map_err(|e| format!("RELAY_FD: {e}"))?, Queue::Shared),
+        None => (front::listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?, Queue::Own),
+    };
     let listen = listener.get_ref().local_addr().unwrap_or(listen);
-    info!(name = config.name, %listen, "ready");
+    let tasks = engine.tasks.clone();
+    let at = ops.as_ref().and_then(|ops| ops.get_ref().local_addr().ok());
+    if let Some(ops) = ops {
+        let desk = Rc::new(ops::Desk::new(engine.clone(), standing.clone()));
+        tasks.spawn_urgent(ops::serve(desk, tasks.clone(), ops));
+    }
+    standing.loaded(Instant::now());
+    info!(name = config.name, ops = at.map_or("none".into(), |a| a.to_string()), ?queue, %listen, "ready");
 
     let (moves, moved) = async_channel::unbounded();
     engine.start(discovery, seq, moved);
-    let (stop, stopped) = async_channel::bounded(1);
-    let node = Node { engine: engine.clone(), front: front.clone(), format };
-    let tasks = engine.tasks.clone();
-    tasks.spawn_urgent(node.obey(signals, config, env, moves, stop));
-    let node = Node { engine, front, format };
-    let serve = node.serve(listener, stopped);
+    let at = front.clone();
+    tasks.spawn(async move { at.send_away().await });
+    let node = Rc::new(Node { engine, front, standing, format });
+    let at = node.clone();
+    tasks.spawn_urgent(async move { at.obey(signals, config, env, moves).await });
+    let serve = node.serve(listener, queue);
     async_io::block_on(or(serve, async { match tasks.run().await {} }));
     node.count();
     Ok(())
@@ -145,6 +174,7 @@
 struct Node {
     engine: Rc<Engine>,
     front: Rc<Front>,
+    standing: Rc<Standing>,
     format: LogFormat,
 }
 
@@ -169,20 +199,19 @@
 
     /// Does what signals ask for, to the program's end: a node that closes is still told where discovery is.
     async fn obey(
-        self,
+        &self,
         mut signals: Signals,
         mut config: Config,
         env: impl Fn(&str) -> Option<String>,
         moves: Sender<SocketAddr>,
-        stop: Sender<()>,
     ) {
         while let Some(signal) = signals.next().await {
             match signal {
                 Ok(Signal::Usr1) => self.count(),
                 Ok(Signal::Hup) => self.reload(&mut config, &env, &moves),
                 Ok(_) => {
-                    // A second one finds the first in force.
-                    let _ = stop.try_send(());
+                    info!("closing");
+                    self.standing.stop(Instant::now());
                 }
                 Err(error) => warn!(%error, "a signal was not read"),
             }
@@ -216,16 +245,29 @@
     }
 
     /// Serves until it is told to stop and all that was taken is answered.
-    async fn serve(&self, listener: Async<TcpListener>, stopped: Receiver<()>) {
-        let stop = async {
-            let _ = stopped.recv().await;
-            info!("closing");
-            Timer::after(LAST_CLIENTS).await;
-        };
-        front::accept(self.front.clone(), listener, stop).await;
-        self.front.close();
+    async fn serve(&self, listener: Async<TcpListener>, queue: Queue) {
+        front::accept(self.front.clone(), listener, queue, self.accepted_enough(queue)).await;
         while self.front.open_links() > 0 || self.engine.desk.open_requests() > 0 {
             Timer::after(CLOSING_LOOK).await;
         }
     }
+
+    /// Waits until no more client links are to be accepted. Clients still come for a while after the node was told to
+    /// stop, but where another process shares the queue it takes them, and has more time to answer them.
+    async fn accepted_enough(&self, queue: Queue) {
+        loop {
+            let change = self.standing.change();
+            match self.standing.look(Lifecycle::phase) {
+                Phase::Stopping { since } => {
+                    info!(?queue, "stopping");
+                    if queue == Queue::Own {
+                        let at = self.standing.look(Lifecycle::idle_until).unwrap_or(since);
+                        Timer::at(at).await;
+                    }
+                    return;
+                }
+                Phase::Starting { .. } | Phase::Serving | Phase::Drained { .. } => change.await,
+            }
+        }
+    }
 }
--- /dev/null
+++ b/ops/src/figures.rs
@@ -0,0 +1,65 @@
+//! Figures as text: a line each, `name{label="value"} figure`, and a line `EOT` at the end.
+
+use std::fmt::Write;
+
+/// The figures of one class.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ClassFigures {
+    /// Its name.
+    pub class: String,
+    /// Jobs served.
+    pub passed: u64,
+    /// Jobs refused.
+    pub dropped: u64,
+    /// Jobs failed.
+    pub bad_gateway: u64,
+}
+
+/// One figure of a class.
+type ByClass = fn(&ClassFigures) -> u64;
+
+/// All figures at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// By class, in the order of the settings.
+    pub classes: Vec<ClassFigures>,
+    /// Attempts written whole to executors.
+    pub upstream_tries: u64,
+    /// Jobs taken and not yet ended.
+    pub in_progress: u64,
+    /// Executors in the list.
+    pub known_executors: u64,
+    /// Those of them that the node now avoids.
+    pub skipped_executors: u64,
+}
+
+impl Figures {
+    /// The text, `EOT` included.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let by_class: [(&str, ByClass); 3] =
+            [("passed", |c| c.passed), ("dropped", |c| c.dropped), ("bad_gateway", |c| c.bad_gateway)];
+        for (name, count) in by_class {
+            let _ = writeln!(text, "# TYPE node_{name} counter");
+            for class in &self.classes {
+                let _ =
+                    writeln!(text, "node_{name}{{category=\"{}\"}} {}", escaped(&class.class), count(class));
+            }
+        }
+        let single = [
+            ("upstream_tries", "counter", self.upstream_tries),
+            ("in_progress", "gauge", self.in_progress),
+            ("known_executors", "gauge", self.known_executors),
+            ("skipped_executors", "gauge", self.skipped_executors),
+        ];
+        for (name, kind, figure) in single {
+            let _ = writeln!(text, "# TYPE node_{name} {kind}\nnode_{name} {figure}");
+        }
+        text + "EOT\n"
+    }
+}
+
+/// A label's value as the text format writes it.
+fn escaped(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
--- /dev/null
+++ b/ops/src/serve.rs
@@ -0,0 +1,109 @@
+//! The sockets of the operators' address.
+
+use crate::call::{Asked, Incoming, Unread};
+use crate::desk::Desk;
+use crate::places::gives_way;
+use async_executor::Task;
+use async_io::{Async, Timer};
+use futures_lite::future::yield_now;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use sorrelhaven_engine::Tasks;
+use sorrelhaven_wire::by;
+use std::collections::VecDeque;
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tracing::{debug, warn};
+
+/// A line must be whole so long after its caller came.
+const WHOLE: Duration = Duration::from_secs(5);
+/// A caller must have taken its answer within this.
+const TAKEN: Duration = Duration::from_secs(1);
+/// How long a caller that was answered is read on, so that it sees the answer and not a reset.
+const LINGER: Duration = Duration::from_millis(500);
+/// The most that is still taken from one that was answered, in bytes.
+const LINGER_MOST: usize = 64 * 1024;
+/// The pause where the system had no descriptor for a caller.
+const REFUSED: Duration = Duration::from_millis(10);
+
+/// Listens where the operators call.
+///
+/// # Errors
+/// Those of binding the address.
+pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address)
+}
+
+/// A caller that is held.
+struct Held {
+    came: Instant,
+    talk: Task<()>,
+}
+
+/// Answers callers, for ever. To be run as an urgent task: what it does takes a moment, and is owed within 1 s.
+pub async fn serve(desk: Rc<Desk>, tasks: Rc<Tasks>, listener: Async<TcpListener>) {
+    let mut held: VecDeque<Held> = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(%error, "cannot accept an operator's call");
+                Timer::after(REFUSED).await;
+                continue;
+            }
+        };
+        held.retain(|h| !h.talk.is_finished());
+        while let Some(at) = gives_way(held.iter().map(|h| h.came)) {
+            Timer::at(at).await;
+            held.retain(|h| !h.talk.is_finished());
+            if gives_way(held.iter().map(|h| h.came)).is_some() {
+                held.pop_front();
+            }
+        }
+        let desk = desk.clone();
+        let talk = tasks.hold_urgent(async move { talk(&desk, stream).await });
+        held.push_back(Held { came: Instant::now(), talk });
+        // Whoever has sent its line is answered before the next one is looked at.
+        yield_now().await;
+    }
+}
+
+/// One caller, from its accept to its end.
+async fn talk(desk: &Desk, mut stream: Async<TcpStream>) {
+    let line = by(Instant::now() + WHOLE, line(&mut stream)).await;
+    let Some(line) = line.unwrap_or(Some(Err(Unread::TooSlow))) else { return };
+    debug!(?line, "an operator calls");
+    let answer = desk.answer(line, Instant::now());
+    let written = by(Instant::now() + TAKEN, stream.write_all(answer.as_bytes())).await;
+    if matches!(written, Some(Ok(()))) && stream.get_ref().shutdown(Shutdown::Write).is_ok() {
+        _ = by(Instant::now() + LINGER, drain(&mut stream)).await;
+    }
+}
+
+/// The line; `None` where the caller has gone.
+async fn line(stream: &mut Async<TcpStream>) -> Option<Result<Asked, Unread>> {
+    let (mut incoming, mut piece) = (Incoming::default(), [0; 512]);
+    loop {
+        match stream.read(&mut piece).await {
+            Err(_) => return None,
+            Ok(0) => return incoming.end(),
+            Ok(n) => {
+                if let Some(line) = incoming.push(&piece[..n]) {
+                    return Some(line);
+                }
+            }
+        }
+    }
+}
+
+/// Takes what still comes, up to a bound.
+async fn drain(stream: &mut Async<TcpStream>) {
+    let (mut piece, mut taken) = ([0; 4096], 0);
+    while taken < LINGER_MOST
+        && let Ok(n @ 1..) = stream.read(&mut piece).await
+    {
+        taken += n;
+        yield_now().await;
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -361,3 +361,52 @@
     /// Leave a line for the operators.
     Log(String),
 }
+
+/// How a dispatcher regards a worker in its list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Regard {
+    /// Work goes to it.
+    Used,
+    /// The list says that it takes nothing new.
+    Draining,
+    /// It has failed of late, and gets no more than a trial.
+    Failed,
+    /// It has turned away each class that it runs.
+    Full,
+}
+
+/// How a dispatcher regards the workers in its list, counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// All in the list.
+    pub known: u64,
+    /// Those that the list says take nothing new.
+    pub draining: u64,
+    /// Those that have failed of late.
+    pub failed: u64,
+    /// Those that have turned away each class that they run.
+    pub full: u64,
+}
+
+impl Census {
+    /// Those that are avoided.
+    pub fn skipped(&self) -> u64 {
+        self.draining + self.failed + self.full
+    }
+}
+
+impl FromIterator<Regard> for Census {
+    fn from_iter<I: IntoIterator<Item = Regard>>(regards: I) -> Census {
+        let mut census = Census::default();
+        for regard in regards {
+            census.known += 1;
+            match regard {
+                Regard::Used => {}
+                Regard::Draining => census.draining += 1,
+                Regard::Failed => census.failed += 1,
+                Regard::Full => census.full += 1,
+            }
+        }
+        census
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -70,6 +70,8 @@
 const KEPT_PER_SLOT: f64 = 1.3;
 /// What a priced crossing of zones counts as, in mean jobs for a price of 1.
 const CROSSING: f64 = 2.0;
+/// A kind out of all range must not claim room for all below it.
+const KINDS_MOST: usize = 1023;
 /// Timer tokens: one for the checks, one for the list.
 const CHECK: u64 = 0;
 const WATCH: u64 = 1;
@@ -219,8 +221,9 @@
             }
             Event::Written { request, attempt, worker } => {
                 let mut out = self.worker_mut(worker).in_flight.iter_mut();
-                let a = out.find(|a| a.request == request && a.number == attempt);
-                a.into_iter().for_each(|a| a.sent = now);
+                out.find(|a| a.request == request && a.number == attempt)
+                    .into_iter()
+                    .for_each(|a| a.sent = now);
             }
             Event::PassedOn(request) => {
                 self.requests.get_mut(&request).into_iter().for_each(|r| r.spent = true)
@@ -243,6 +246,23 @@
         self.arm(now, actions);
     }
 
+    /// How this dispatcher regards the workers in the list at this moment.
+    pub fn census(&self, now: Micros) -> Census {
+        let all = (0..self.workers.len() as u32).map(WorkerId);
+        let listed = all.filter(|&id| self.worker(id).entry.lifecycle != Lifecycle::Gone);
+        listed.map(|id| self.regard(id, now)).collect()
+    }
+
+    fn regard(&self, id: WorkerId, now: Micros) -> Regard {
+        let classes = 0..self.settings.classes.len() - 1;
+        match self.worker(id) {
+            w if !w.ready() => Regard::Draining,
+            w if !self.sound(id) || now < w.trial_at => Regard::Failed,
+            _ if classes.into_iter().all(|class| !self.takes(id, class, now)) => Regard::Full,
+            _ => Regard::Used,
+        }
+    }
+
     // ---- Membership ----
 
     fn on_members(&mut self, members: Members, actions: &mut Vec<Action>) {
@@ -298,10 +318,9 @@
         }
         w.entry = entry;
         w.entry.rating = if w.entry.rating.is_finite() { w.entry.rating.max(0.0) } else { 1.0 };
-        let kind = w.entry.kind;
-        if kind >= self.kinds.len() && kind < 1024 {
-            self.kinds.resize(kind + 1, Kind::default());
-        }
+        w.entry.kind = w.entry.kind.min(KINDS_MOST);
+        let kinds = w.entry.kind + 1;
+        self.kinds.resize(kinds.max(self.kinds.len()), Kind::default());
     }
 
     /// Chooses the workers that this dispatcher works with: the paper's top N, made narrow. Each one has
@@ -365,7 +384,7 @@
     }
 
     fn kind(&self, w: &Worker) -> Kind {
-        let known = self.kinds.get(w.entry.kind).copied().unwrap_or_default();
+        let known = self.kinds[w.entry.kind];
         Kind { slots: known.slots.max(1.0), ..known }
     }
 
@@ -650,15 +669,13 @@
             let fresh = w.fresh(class, now);
             w.wait[class] = ((w.wait[class].0 * fresh + waited) / (1.0 + fresh), now);
             let kind = w.entry.kind;
-            self.kinds
-                .get_mut(kind)
-                .into_iter()
-                .for_each(|k| k.wait[class.min(3)] += (waited - k.wait[class.min(3)]) / USUAL_HISTORY);
+            let usual = &mut self.kinds[kind].wait[class.min(3)];
+            *usual += (waited - *usual) / USUAL_HISTORY;
         }
         let w = self.worker_mut(worker);
         let running: f64 = w.in_flight.iter().filter(|a| a.started.is_some()).map(|a| a.width).sum();
         let kind = w.entry.kind;
-        self.kinds.get_mut(kind).into_iter().for_each(|k| k.slots = k.slots.max(running));
+        self.kinds[kind].slots = self.kinds[kind].slots.max(running);
         if let Some(r) = self.requests.get_mut(&request) {
             r.started |= r.out == Some((worker, attempt));
         }
@@ -678,15 +695,12 @@
             let attempt = w.in_flight.swap_remove(i);
             self.learn(now, worker, &attempt, outcome, took);
         }
-        if closed {
-            self.forget(id, actions);
-            return;
-        }
         let Some(r) = self.requests.get_mut(&id) else { return };
-        if r.out != Some((worker, number)) {
-            return;
+        let last = r.out.take_if(|out| *out == (worker, number)).is_some();
+        if closed {
+            return self.forget(id, actions);
         }
-        r.out = None;
+        let Some(r) = self.requests.get_mut(&id).filter(|_| last) else { return };
         let unseen = matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
         let never_ran = unseen || outcome == Outcome::Full && !self.settings.rules.full_may_have_run;
         if !never_ran && r.ran.is_none() {
@@ -714,12 +728,7 @@
         }
         let Some((worker, number)) = r.out else {
             let at = self.latest_start(id);
-            if now >= at {
-                self.give_up(id, actions)
-            } else {
-                self.check_at(id, at)
-            }
-            return;
+            return if now >= at { self.give_up(id, actions) } else { self.check_at(id, at) };
         };
         let safe = self.settings.classes[r.class].effect != Effect::Unsafe;
         let again = safe && self.may_try_again(r, now) && self.settings.limits.cancel;
@@ -727,8 +736,7 @@
             return;
         }
         if now >= r.wanted {
-            self.give_up(id, actions);
-            return;
+            return self.give_up(id, actions);
         }
         // Not started in time T: this worker has timed out, unless it has shown life and is only behind.
         let w = self.worker(worker);
@@ -788,14 +796,8 @@
         self.checks.remove(&(r.check, id));
         self.held.retain(|h| h.1 != id);
         let may = self.settings.limits.cancel && !r.streaming && !r.cancelled;
-        if let Some((worker, attempt)) = r.out.filter(|_| may)
-            && self.workers[worker.0 as usize]
-                .in_flight
-                .iter()
-                .any(|a| (a.request, a.number) == (id, attempt))
-        {
-            actions.push(Action::Cancel { request: id, attempt });
-        }
+        let out = r.out.filter(|_| may);
+        actions.extend(out.map(|(_, attempt)| Action::Cancel { request: id, attempt }));
     }
 
     // ---- The four rules, per send ----
@@ -899,7 +901,7 @@
                 self.set_stale |= cleared;
                 if warmth >= 1.0 {
                     self.fleet.add(ratio, 4.0 * HISTORY);
-                    self.kinds.get_mut(kind).into_iter().for_each(|k| k.epc.add(ratio, 2.0 * HISTORY));
+                    self.kinds[kind].epc.add(ratio, 2.0 * HISTORY);
                 }
                 self.estimate(id);
                 self.change();
