--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -138,7 +138,8 @@
         tasks.spawn_urgent(ops::serve(desk, tasks.clone(), ops));
     }
     standing.loaded(Instant::now());
-    info!(name = config.name, ops = at.map_or("none".into(), |a| a.to_string()), ?queue, %listen, "ready");
+    let at = at.map_or("none".to_string(), |at| at.to_string());
+    info!(name = config.name, ops = %at, ?queue, %listen, "ready");
 
     let (moves, moved) = async_channel::unbounded();
     engine.start(discovery, seq, moved);
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -107,6 +107,8 @@
     pub status: u16,
     /// When to come back, in seconds.
     pub retry_after: Option<f64>,
+    /// The connection ends with it.
+    pub close: bool,
     /// Its body.
     pub body: String,
     /// Since the request's first byte.
@@ -133,6 +135,7 @@
         stream.read_exact(&mut body)?;
         let retry_after = get("Retry-After:").and_then(|r| r.parse().ok());
         let body = String::from_utf8_lossy(&body).into_owned();
-        Ok(Reply { status, retry_after, body, took: begun.elapsed() })
+        let close = get("Connection:") == Some("close");
+        Ok(Reply { status, retry_after, close, body, took: begun.elapsed() })
     }
 }
--- a/standins/src/program.rs
+++ b/standins/src/program.rs
@@ -1,6 +1,6 @@
 //! The program itself, started as an operator starts it.
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -45,6 +45,17 @@
     }
 }
 
+/// The variables that the program reads.
+const VARIABLES: [&str; 7] = [
+    "RUST_LOG",
+    "SORRELHAVEN_OPERATOR",
+    "RELAY_NAME",
+    "RELAY_LISTEN",
+    "RELAY_DISCOVERY",
+    "RELAY_OPS",
+    "RELAY_FD",
+];
+
 /// A program that serves; ended when dropped, whatever the test came to.
 pub struct Program {
     /// The process.
@@ -53,21 +64,26 @@
     early: Vec<String>,
     /// Where it listens.
     pub address: String,
+    /// Where its operators call; `none` where it has no such address.
+    pub ops: String,
 }
 
 impl Program {
-    /// Starts `command` with a platform's file, and an operators' if there is one, and waits until it is ready.
+    /// Starts `command` with a platform's file, and an operators' if there is one, and waits until it is ready. Of
+    /// the variables that it reads it has those that the command sets, and no others.
     pub fn start(mut command: Command, config: &Path, operator: Option<&Path>) -> Program {
-        command.env_remove("RUST_LOG").env_remove("SORRELHAVEN_OPERATOR").env("RELAY_CONFIG", config);
-        for name in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY"] {
+        let set: Vec<_> = command.get_envs().map(|(name, _)| name.to_os_string()).collect();
+        for name in VARIABLES.into_iter().filter(|name| !set.iter().any(|s| s == name)) {
             command.env_remove(name);
         }
+        command.env("RELAY_CONFIG", config);
         if let Some(operator) = operator {
             command.env("SORRELHAVEN_OPERATOR", operator);
         }
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
         let log = BufReader::new(child.stderr.take().expect("its log"));
-        let mut program = Program { child, log, early: Vec::new(), address: String::new() };
+        let mut program =
+            Program { child, log, early: Vec::new(), address: String::new(), ops: String::new() };
         let line = loop {
             let line = program.line("");
             if line.contains(" ready ") {
@@ -75,6 +91,9 @@
             }
             program.early.push(line);
         };
+        let field =
+            |name: &str| line.split_whitespace().find_map(|f| f.strip_prefix(name)).unwrap_or_default();
+        program.ops = field("ops=").to_string();
         program.address = line.rsplit("listen=").next().expect("its address").trim().to_string();
         program
     }
@@ -102,6 +121,27 @@
         swept.and_then(|swept| swept.trim().parse().ok()).unwrap_or(0)
     }
 
+    /// What its operators are answered who call so.
+    pub fn call(&self, call: &str) -> String {
+        let mut stream = std::net::TcpStream::connect(&self.ops).expect("its operators' address");
+        stream.write_all(format!("{call}\n").as_bytes()).expect("it reads");
+        // Far beyond what it owes: a node that never answers must not hold up the tests for ever.
+        stream.set_read_timeout(Some(std::time::Duration::from_secs(20))).expect("a socket");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    /// One of the figures that it shows its operators, over all classes.
+    pub fn shown(&self, name: &str) -> u64 {
+        let text = self.call("show-stat");
+        let of = |line: &str| {
+            let (key, figure) = line.rsplit_once(' ')?;
+            (key.split('{').next() == Some(name)).then(|| figure.parse::<u64>().expect("a figure"))
+        };
+        text.lines().filter_map(of).sum()
+    }
+
     /// Sends it a signal by its short name.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
