--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -522,3 +522,39 @@
     let (_, actions) = desk.arrive(now, 1, 50 * MS);
     assert_eq!(sends(&actions)[0].1, WorkerId(1), "it goes where its class does not wait");
 }
+
+/// What operators are shown is what the decisions go by: drained, failed and full workers are avoided, for as long as
+/// jobs keep away from them.
+#[test]
+fn the_census_says_which_workers_are_avoided_and_why() {
+    let mut desk = Desk::new(settings(), 6);
+    let census = |desk: &Desk, now| desk.dispatcher.census(now);
+    assert_eq!(census(&desk, 0), Census { known: 6, ..Census::default() });
+    let terminating = Entry { lifecycle: Lifecycle::Draining, ..entry(0) };
+    let gone = Entry { lifecycle: Lifecycle::Gone, ..entry(1) };
+    desk.tell(S, Event::Members(Members::Delta(vec![terminating, gone])));
+    assert_eq!(census(&desk, S), Census { known: 5, draining: 1, ..Census::default() });
+    // One that does not come up is avoided until a trial shows that it is back.
+    let (request, actions) = desk.arrive(S, 1, 40 * MS);
+    let (_, worker) = sends(&actions)[0];
+    desk.end(S + MS, request, (worker, 0), Outcome::ConnectFailed);
+    let now = census(&desk, S + MS);
+    assert_eq!((now.known, now.failed, now.skipped()), (5, 1, 2));
+    for n in 0..40 {
+        let (_, actions) = desk.arrive(S + 2 * MS + n, 1, 40 * MS);
+        assert!(sends(&actions).iter().all(|s| s.1 != worker && s.1 != WorkerId(0)), "avoided");
+    }
+    // A fresh process in its place is none that has failed.
+    let fresh = Entry { born: 2 * S, ..entry(worker.0) };
+    desk.tell(2 * S, Event::Members(Members::Delta(vec![fresh])));
+    assert_eq!(census(&desk, 2 * S), Census { known: 5, draining: 1, ..Census::default() });
+    // A full answer for one class leaves the others; for all of them it is a worker to stay away from.
+    let mut desk = Desk::new(settings(), 1);
+    for class in 0..5 {
+        assert_eq!(census(&desk, S).skipped(), 0, "class {class}");
+        let (request, _) = desk.arrive(S, class, 40 * MS);
+        desk.end(S, request, (WorkerId(0), 0), Outcome::Full);
+    }
+    assert_eq!(census(&desk, S), Census { known: 1, full: 1, ..Census::default() });
+    assert_eq!(census(&desk, 60 * S).skipped(), 0, "for a while");
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -209,3 +209,83 @@
     assert!(used <= 9 * places.len(), "{used} places for {} keys of a zone", places.len());
     assert!(crossed * 4 < all, "{crossed} of {all} jobs crossed zones");
 }
+
+/// An upgrade: two processes stand for one node, each gets half of its requests and knows nothing of the other. A
+/// worker that is cold meanwhile gets work from them, and under three times what it can do at present.
+#[test]
+fn two_modules_of_one_node_keep_a_cold_worker_within_its_room() {
+    const COLD: Micros = 10 * S;
+    let rules =
+        RuleFigures { cold_from: 0.2, cold: COLD, fall_multiple: 3.0, fall: 2 * S, ..settings().rules };
+    let mut node = |seed| {
+        let settings = Settings { balancers: 1, rules: rules.clone(), ..settings() };
+        Desk { dispatcher: Dispatcher::new(settings, seed), next: seed << 32 }
+    };
+    let mut nodes = [node(1), node(2)];
+    let list = |born| -> Vec<Entry> {
+        (0..4).map(|n| Entry { born: if n == 0 { born } else { 0 }, rating: 4.0, ..entry(n) }).collect()
+    };
+    // Each worker does four jobs at once; jobs come so that warm ones are nine tenths busy.
+    let (size, gap) = (200 * MS, 200 * MS / 14);
+    let (mut rng, mut sent, mut due) = (fastrand::Rng::with_seed(5), Vec::new(), BTreeMap::new());
+    let mut free = [[0; 4]; 4];
+    let warmth = |now: Micros| (0.2 + 0.8 * (now - 5 * S) as f64 / COLD as f64).clamp(0.2, 1.0);
+    nodes.iter_mut().for_each(|n| _ = n.tell(0, Event::Members(Members::Full(list(0)))));
+    let mut number = 0_u64;
+    for step in 0..(15 * S / gap) {
+        let now = step * gap;
+        if now >= 5 * S && now - gap < 5 * S {
+            free[0].fill(now);
+            nodes.iter_mut().for_each(|n| _ = n.tell(now, Event::Members(Members::Delta(list(5 * S)))));
+        }
+        let mut actions: Vec<(usize, Micros, Vec<Action>)> = Vec::new();
+        let later = due.split_off(&(now + 1, 0));
+        for ((at, _), (which, event)) in std::mem::replace(&mut due, later) {
+            let node: &mut Desk = &mut nodes[which];
+            actions.push((which, at, node.tell(at, event)));
+        }
+        let which = rng.usize(0..2);
+        let hint = rng.i64(size / 2..size * 3 / 2);
+        actions.push((which, now, nodes[which].arrive(now, 0, hint).1));
+        for (which, at, actions) in actions {
+            for action in actions {
+                number += 1;
+                match action {
+                    Action::Send { request, worker, .. } => {
+                        let w = worker.0 as usize;
+                        let speed = if w == 0 && at >= 5 * S { warmth(at) } else { 1.0 };
+                        if w == 0 && at >= 5 * S {
+                            sent.push((at, size as f64));
+                        }
+                        let slot = (0..4).min_by_key(|&i| free[w][i]).unwrap_or(0);
+                        let start = free[w][slot].max(at) + MS;
+                        let end = start + (size as f64 / speed) as Micros;
+                        free[w][slot] = end;
+                        let (attempt, outcome) = (0, Outcome::Ok);
+                        due.insert((start, number), (which, Event::Started { request, attempt, worker }));
+                        let (took, closed, report) = (end - at, true, Vec::new());
+                        let done = Event::Outcome { request, attempt, worker, outcome, took, closed, report };
+                        due.insert((end, number), (which, done));
+                    }
+                    Action::Timer { delay, token } => {
+                        due.insert((at + delay, number), (which, Event::Timer(token)));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    let mut most: f64 = 0.0;
+    for from in (5 * S..13 * S).step_by(50 * MS as usize) {
+        let in_window = sent.iter().filter(|s| (from..from + 2 * S).contains(&s.0)).map(|s| s.1).sum::<f64>();
+        // What it could do in the window, at its four slots, by the least warmth in it.
+        most = most.max(in_window / (4.0 * warmth(from) * 2.0 * S as f64));
+    }
+    assert!(most < 3.0, "{most:.2} times what it could do");
+    let early = sent.iter().filter(|s| s.0 < 8 * S).count();
+    assert!(early >= 10, "{early} jobs in its first 3 s");
+    println!(
+        "at most {most:.2} times what it could do; {early} jobs in its first 3 s, {} in all",
+        sent.len()
+    );
+}
