Processes of one node divide its descriptors while both live

Seats in TMPDIR tell each how many live; idle server links beyond its part are closed, silent client links give way. Test: a crowd of 500 on two processes with 160 descriptors between them.

--- a/engine/src/links.rs
+++ b/engine/src/links.rs
@@ -51,6 +51,11 @@
         self.most.get() * 2 / 3
     }
 
+    /// Whether more are in use than may be.
+    pub fn over(&self) -> bool {
+        self.used.get() > self.most.get()
+    }
+
     /// One descriptor, if one is free.
     pub fn take(self: &Rc<Self>) -> Option<Permit> {
         let free = self.used.get() < self.most.get();
@@ -164,12 +169,17 @@
         })
     }
 
-    fn free_oldest(&self) {
+    /// Another limit on the descriptors of the process: idle server links beyond it are closed at once.
+    pub fn resize(&self, sockets: usize) {
+        self.descriptors.resize(sockets);
+        while self.descriptors.over() && self.free_oldest() {}
+    }
+
+    /// Drops the idle server link that would be dropped first, if there is one.
+    fn free_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since);
-        if let Some(links) = oldest {
-            links.remove(0);
-        }
+        oldest.map(|links| links.remove(0)).is_some()
     }
 
     /// Drops the idle links that are old or that the executor has closed.
--- a/front/http1/src/front.rs
+++ b/front/http1/src/front.rs
@@ -114,6 +114,13 @@
         }
     }
 
+    /// Has as many client links give way as there are beyond the bound on them.
+    pub fn shed(&self) {
+        let beyond = self.client_links.get().saturating_sub(self.links().descriptors.clients_most());
+        let silent = self.close_silent.notify_additional(beyond);
+        self.close_idle.notify_additional(beyond - silent);
+    }
+
     /// Client links that are open.
     pub fn open_links(&self) -> usize {
         self.client_links.get()
--- a/inherit/src/lib.rs
+++ b/inherit/src/lib.rs
@@ -1,8 +1,12 @@
-//! Adopts the listening socket that the platform holds and hands to each process it starts.
+//! Adopts the listening socket that the platform holds and hands to each process it starts, and counts those that live.
 //!
 //! Two processes may hold the one socket at the same time: what is queued on it goes to whichever accepts first, and
 //! whatever is set on it holds for both. So nothing is set here, and it is never shut down.
 
+mod seats;
+
+pub use seats::Seats;
+
 use rustix::fd::{BorrowedFd, RawFd};
 use rustix::io::{Errno, fcntl_dupfd_cloexec};
 use rustix::net::sockopt::{socket_acceptconn, socket_type};
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,8 +14,10 @@
 use sorrelhaven_config::{Config, Operator};
 use sorrelhaven_engine::Engine;
 use sorrelhaven_front_http1::{self as front, Front, Queue};
+use sorrelhaven_inherit::Seats;
 use sorrelhaven_lifecycle::{Lifecycle, Phase, Standing};
 use sorrelhaven_ops as ops;
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -27,6 +29,9 @@
 /// How often a closing node looks whether all is answered.
 const CLOSING_LOOK: Duration = Duration::from_millis(20);
 
+/// How often a process looks for others of its node.
+const OTHERS_LOOK: Duration = Duration::from_millis(200);
+
 /// The key of the directory, which is tried when it is opened.
 const DIRECTORY: &str = "bodies.files.directory";
 /// The exit status where a file is at fault, as where the command line is.
@@ -131,6 +136,13 @@
         None => (front::listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?, Queue::Own),
     };
     let listen = listener.get_ref().local_addr().unwrap_or(listen);
+    // Where another process may serve the same clients, both are one node to the limits.
+    let seats = match queue {
+        Queue::Own => None,
+        Queue::Shared => Seats::take(&std::env::temp_dir(), &config.name)
+            .inspect_err(|error| warn!(%error, "other processes of this node can't be counted"))
+            .ok(),
+    };
     let tasks = engine.tasks.clone();
     let at = ops.as_ref().and_then(|ops| ops.get_ref().local_addr().ok());
     if let Some(ops) = ops {
@@ -145,7 +157,14 @@
     engine.start(discovery, seq, moved);
     let at = front.clone();
     tasks.spawn(async move { at.send_away().await });
-    let node = Rc::new(Node { engine, front, standing, format });
+    let (sockets, others) = (Cell::new(config.sockets), Cell::new(0));
+    let node = Rc::new(Node { engine, front, standing, format, sockets, others });
+    if let Some(seats) = seats {
+        node.others.set(seats.others());
+        node.divide();
+        let at = node.clone();
+        tasks.spawn_urgent(async move { at.count_others(seats).await });
+    }
     let at = node.clone();
     tasks.spawn_urgent(async move { at.obey(signals, config, env, moves).await });
     let serve = node.serve(listener, queue);
@@ -177,6 +196,10 @@
     front: Rc<Front>,
     standing: Rc<Standing>,
     format: LogFormat,
+    /// Descriptors that all processes of this node may hold.
+    sockets: Cell<usize>,
+    /// The other processes of this node that live.
+    others: Cell<usize>,
 }
 
 impl Node {
@@ -198,6 +221,24 @@
         }
     }
 
+    /// Divides the descriptors among the processes of this node.
+    fn divide(&self) {
+        self.engine.ways.links.resize(self.sockets.get() / (1 + self.others.get()));
+        self.front.shed();
+    }
+
+    /// Counts the other processes of this node, for ever.
+    async fn count_others(&self, seats: Seats) {
+        loop {
+            let others = seats.others();
+            if self.others.replace(others) != others {
+                info!(others, "other processes of this node");
+                self.divide();
+            }
+            Timer::after(OTHERS_LOOK).await;
+        }
+    }
+
     /// Does what signals ask for, to the program's end: a node that closes is still told where discovery is.
     async fn obey(
         &self,
@@ -233,7 +274,8 @@
                 Err(error) => return warn!(error, "the configuration stays as it was"),
             }
         }
-        self.engine.ways.links.descriptors.resize(next.sockets);
+        self.sockets.set(next.sockets);
+        self.divide();
         if next.discovery != config.discovery {
             // The watch runs as long as the node.
             let _ = moves.try_send(next.discovery);
--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -185,3 +185,38 @@
     assert!(served + 2 * CLIENTS >= asked, "{served} of {asked}");
     new.end();
 }
+
+/// The two are one node to the limit on descriptors, also where a crowd of silent clients would fill either.
+#[test]
+fn two_processes_together_keep_to_the_descriptors_of_one() {
+    const LIMIT: usize = 160;
+    let platform = Platform::new("descriptors");
+    let text =
+        boxes_file(&platform.boxes.addresses).replace("\"sockets\":1024", &format!("\"sockets\":{LIMIT}"));
+    platform.scratch.write("node.json", &text);
+    let held = |node: &Program| {
+        std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).map_or(0, |entries| entries.count())
+    };
+    let mut old = platform.start();
+    let address = platform.listener.local_addr().expect("its address");
+    let crowd = |n: usize| -> Vec<TcpStream> {
+        (0..n).map(|_| TcpStream::connect(address).expect("it is queued")).collect()
+    };
+    let mut clients = crowd(200);
+    // One that has been served proves that the crowd before it was accepted, or gave way.
+    let served = Ask::new("after", ONCE, b"body".to_vec()).send(&address.to_string()).expect("an answer");
+    assert_eq!(served.status, 200);
+    assert!(held(&old) > LIMIT / 2, "a node alone uses what it may: {}", held(&old));
+    let new = platform.start();
+    old.line("other processes of this node");
+    for round in 0..6 {
+        clients.extend(crowd(50));
+        let ask = Ask::new(&format!("beside-{round}"), ONCE, b"body".to_vec());
+        assert_eq!(ask.send(&address.to_string()).expect("an answer").status, 200);
+        let (a, b) = (held(&old), held(&new));
+        assert!(a + b <= LIMIT, "round {round}: {a} and {b} of {LIMIT}");
+    }
+    drop(clients);
+    old.end();
+    new.end();
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -217,7 +217,7 @@
     const COLD: Micros = 10 * S;
     let rules =
         RuleFigures { cold_from: 0.2, cold: COLD, fall_multiple: 3.0, fall: 2 * S, ..settings().rules };
-    let mut node = |seed| {
+    let node = |seed| {
         let settings = Settings { balancers: 1, rules: rules.clone(), ..settings() };
         Desk { dispatcher: Dispatcher::new(settings, seed), next: seed << 32 }
     };
