A job that a later one has overtaken is lost on its way, and closes no worker

Cause: a job on a link that fell silent counted as one that waits, which closes its worker to the node until the job's deadline (Worker::unstarted in room and wait_now), and a worker that shows life was taken to be merely behind (check). Room in the module was made by simpler early returns.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,6 +37,8 @@
 const HINT_ERROR: f64 = 2.0;
 /// The first pause before a failed worker is tried again; it doubles with each further time-out.
 const TRIAL_PAUSE: Micros = 250_000;
+/// One that has not started after so many usual waits, and that pause, may have been lost on its way.
+const STALLED: f64 = 10.0;
 /// Doublings of that pause where a trial that finds the worker full still costs the job.
 const LOSSY_TRIALS: u32 = 3;
 /// The share of a cold worker's budget that is used: hints are rough and the other dispatchers blind.
@@ -86,6 +88,7 @@
     sent: Micros,
     wanted: Micros,
     started: Option<Micros>,
+    lost: bool,
 }
 
 /// What this dispatcher knows of a worker.
@@ -122,7 +125,7 @@
     }
 
     fn unstarted(&self) -> impl Iterator<Item = &Attempt> {
-        self.in_flight.iter().filter(|a| a.started.is_none())
+        self.in_flight.iter().filter(|a| a.started.is_none() && !a.lost)
     }
 }
 
@@ -216,9 +219,7 @@
                 self.on_started(now, request, attempt, worker);
                 self.requests.get_mut(&request).into_iter().for_each(|r| r.streaming = true);
             }
-            Event::Outcome { request, attempt, worker, outcome, took, closed, .. } => {
-                self.on_outcome(now, (request, attempt, worker), outcome, took, closed, actions);
-            }
+            event @ Event::Outcome { .. } => self.on_outcome(now, event, actions),
             Event::Written { request, attempt, worker } => {
                 let mut out = self.worker_mut(worker).in_flight.iter_mut();
                 out.find(|a| a.request == request && a.number == attempt)
@@ -474,7 +475,7 @@
         let c = self.penalised(w, r.class, now);
         let slots = self.kind(w).slots;
         let (mut cost, mut width) = (0.0, 0.0);
-        for a in &w.in_flight {
+        for a in w.in_flight.iter().filter(|a| !a.lost) {
             let done = a.started.map_or(0.0, |at| (now - at) as f64 * c);
             cost += a.width * (a.size - done).max(a.size * 0.1);
             width += a.width;
@@ -640,7 +641,7 @@
         let cold = self.warmth(w, now) < 1.0;
         let debt = if cold { self.cold_debt(worker, now).max(0.0) + self.cold_cost(r) } else { 0.0 };
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let (request, number, started) = (id, r.attempts, None);
+        let (request, number, started, lost) = (id, r.attempts, None, false);
         let Request { class, size, width, wanted, key, .. } = *r;
         r.attempts += 1;
         r.out = Some((worker, number));
@@ -650,7 +651,7 @@
         let kept = (KEPT_PER_SLOT * self.kind(self.worker(worker)).slots).ceil() as usize;
         let w = &mut self.workers[worker.0 as usize];
         w.keys.sent(key, kept);
-        w.in_flight.push(Attempt { request, number, class, size, width, sent: now, wanted, started });
+        w.in_flight.push(Attempt { request, number, class, size, width, sent: now, wanted, started, lost });
         (w.cold_debt, w.cold_at) = (debt, now);
         actions.push(Action::Send { request: id, worker, timeout: 0 });
         self.check_at(id, check);
@@ -665,7 +666,11 @@
         if a.started.is_none() {
             a.started = Some(now);
             let waited = (now - a.sent) as f64;
-            let class = a.class;
+            let (class, width, before) = (a.class, a.width, a.sent - 3 * START_GRACE);
+            // Jobs mostly start in order, but for narrower ones: what was overtaken has hardly come.
+            let passed = |b: &&mut Attempt| b.width <= width && b.sent < before;
+            let passed = w.in_flight.iter_mut().filter(passed).filter(|b| b.started.is_none());
+            passed.for_each(|b| b.lost = true);
             let fresh = w.fresh(class, now);
             w.wait[class] = ((w.wait[class].0 * fresh + waited) / (1.0 + fresh), now);
             let kind = w.entry.kind;
@@ -681,15 +686,10 @@
         }
     }
 
-    fn on_outcome(
-        &mut self,
-        now: Micros,
-        (id, number, worker): (RequestId, u32, WorkerId),
-        outcome: Outcome,
-        took: Micros,
-        closed: bool,
-        actions: &mut Vec<Action>,
-    ) {
+    fn on_outcome(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        let Event::Outcome { request: id, attempt: number, worker, outcome, took, closed, .. } = event else {
+            return;
+        };
         let w = self.worker_mut(worker);
         if let Some(i) = w.in_flight.iter().position(|a| a.request == id && a.number == number) {
             let attempt = w.in_flight.swap_remove(i);
@@ -715,10 +715,7 @@
 
     /// Looks at a request again at the time set for it.
     fn check(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id) else { return };
-        if r.streaming {
-            return;
-        }
+        let Some(r) = self.requests.get(&id).filter(|r| !r.streaming) else { return };
         if now >= r.due {
             // An outstanding attempt is answered by its own time-out, which comes within the slack.
             if r.out.is_none() {
@@ -795,8 +792,7 @@
         let Some(r) = self.requests.remove(&id) else { return };
         self.checks.remove(&(r.check, id));
         self.held.retain(|h| h.1 != id);
-        let may = self.settings.limits.cancel && !r.streaming && !r.cancelled;
-        let out = r.out.filter(|_| may);
+        let out = r.out.filter(|_| self.settings.limits.cancel && !r.streaming && !r.cancelled);
         actions.extend(out.map(|(_, attempt)| Action::Cancel { request: id, attempt }));
     }
 
@@ -962,14 +958,19 @@
         self.runs(id, class) && self.worker(id).full.get(class).is_none_or(|f| f.1 <= now)
     }
 
-    /// Whether one job may try a worker that has failed: nothing else would show that it is back.
+    /// Whether one job may try a worker that has failed, or where one waits for too long: nothing else would show
+    /// that it is back, or that it starts others.
     fn trial_due(&self, r: &Request, id: WorkerId, now: Micros) -> bool {
         let w = self.worker(id);
         let left = r.wanted.saturating_sub(now) as f64 - r.size / self.epc(w, r.class);
-        self.excess(w) > 0
-            && now >= w.trial_at
-            && w.in_flight.is_empty()
-            && w.wait_now(r.class, now, 0.0) <= left.max(0.0)
+        let pause = (TRIAL_PAUSE << (w.unstarted().count().clamp(1, 5) - 1)) as f64;
+        let usual = |a: &Attempt| self.kind(w).wait[a.class.min(3)];
+        let long = |a: &Attempt| usual(a) > 0.0 && (now - a.sent) as f64 > STALLED * usual(a) + pause;
+        now >= w.trial_at
+            && (w.unstarted().all(long) && w.unstarted().any(|a| a.width <= r.width)
+                || self.excess(w) > 0
+                    && w.in_flight.is_empty()
+                    && w.wait_now(r.class, now, 0.0) <= left.max(0.0))
     }
 
     // ---- Admission ----
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -558,3 +558,41 @@
     assert_eq!(census(&desk, S), Census { known: 1, full: 1, ..Census::default() });
     assert_eq!(census(&desk, 60 * S).skipped(), 0, "for a while");
 }
+
+/// A link that falls silent takes a job with it that the worker never hears of. Where waits are short, one further job
+/// shows that the worker starts others: then the lost one closes it no longer, and is tried again if that is harmless.
+#[test]
+fn a_job_that_a_later_one_has_overtaken_closes_no_worker() {
+    let start = |desk: &mut Desk, now, request, worker| {
+        desk.tell(now, Event::Started { request, attempt: 0, worker });
+    };
+    for lost_class in [0, 1] {
+        let mut desk = Desk::new(settings(), 1);
+        let worker = WorkerId(0);
+        for n in 0..5 {
+            assert!(desk.serve(S + n * 100 * MS, 20 * MS, |_| 1.0).is_some());
+            let (request, _) = desk.arrive(S + n * 100 * MS + 50 * MS, 1, 20 * MS);
+            start(&mut desk, S + n * 100 * MS + 51 * MS, request, worker);
+            desk.end(S + n * 100 * MS + 71 * MS, request, (worker, 0), Outcome::Ok);
+        }
+        let (_, actions) = desk.arrive(2 * S, lost_class, 20 * MS);
+        assert_eq!(sends(&actions).len(), 1);
+        let (early, actions) = desk.arrive(2 * S + 100 * MS, 0, 20 * MS);
+        assert!(sends(&actions).is_empty(), "it may stand in a queue so far");
+        desk.tell(2 * S + 110 * MS, Event::Lapsed(early));
+        // An unsafe job is never the trial.
+        let at = 2 * S + 400 * MS;
+        let (unsafe_job, actions) = desk.arrive(at, 1, 20 * MS);
+        assert!(sends(&actions).is_empty());
+        desk.tell(at, Event::Lapsed(unsafe_job));
+        let (trial, actions) = desk.arrive(at, 0, 20 * MS);
+        assert!(sends(&actions).contains(&(trial, worker)), "{actions:?}");
+        let (second, actions) = desk.arrive(at + MS, 0, 20 * MS);
+        assert!(sends(&actions).is_empty(), "one trial at a time");
+        desk.tell(at + MS, Event::Lapsed(second));
+        start(&mut desk, at + 2 * MS, trial, worker);
+        // It is open again at once, for what must not run twice, too.
+        let (_, actions) = desk.arrive(at + 3 * MS, 1, 20 * MS);
+        assert_eq!(sends(&actions).len(), 1, "{actions:?}");
+    }
+}
