--- a/src/rules.rs
+++ b/src/rules.rs
@@ -958,8 +958,8 @@
         self.runs(id, class) && self.worker(id).full.get(class).is_none_or(|f| f.1 <= now)
     }
 
-    /// Whether one job may try a worker that has failed, or where one waits for too long: nothing else would show
-    /// that it is back, or that it starts others.
+    /// Whether one job may try a worker that has failed, or where one waits for too long: nothing else would
+    /// show that it is back, or that it starts others.
     fn trial_due(&self, r: &Request, id: WorkerId, now: Micros) -> bool {
         let w = self.worker(id);
         let left = r.wanted.saturating_sub(now) as f64 - r.size / self.epc(w, r.class);
