--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,7 +37,7 @@
 const HINT_ERROR: f64 = 2.0;
 /// The first pause before a failed worker is tried again; it doubles with each further time-out.
 const TRIAL_PAUSE: Micros = 250_000;
-/// One that has not started after so many usual waits, and that pause, may have been lost on its way.
+/// Where waits are short, one that has waited for so many of them, and that pause, may be lost on its way.
 const STALLED: f64 = 10.0;
 /// Doublings of that pause where a trial that finds the worker full still costs the job.
 const LOSSY_TRIALS: u32 = 3;
@@ -151,6 +151,12 @@
     check: Micros,
 }
 
+/// Whether one that has not started has waited for too long, where waits are usually short.
+fn stalled(waited: Micros, usual: f64, pauses: usize) -> bool {
+    let short = (1.0..3.0 * START_GRACE as f64).contains(&usual);
+    short && waited as f64 > STALLED * usual + (TRIAL_PAUSE * pauses as Micros) as f64
+}
+
 /// Decides for one dispatcher.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -300,7 +306,7 @@
         let all = (0..self.workers.len() as u32).map(WorkerId);
         self.ready = all.filter(|&id| self.worker(id).ready()).collect();
         self.set_stale = true;
-        self.change();
+        self.stale.fill(true);
     }
 
     fn on_entry(&mut self, entry: Entry) {
@@ -368,7 +374,7 @@
         if n > 1.3 * self.n as f64 || n < 0.7 * self.n as f64 {
             self.n = n as usize;
             self.set_stale = true;
-            self.change();
+            self.stale.fill(true);
         }
     }
 
@@ -432,16 +438,11 @@
         c / (1.0 + ALPHA * (self.excess(w) as f64 + overdue.count() as f64))
     }
 
-    /// Something that ranks workers has changed.
-    fn change(&mut self) {
-        self.stale.fill(true);
-    }
-
     /// Ranks the workers for a class again if anything that ranks them has changed.
     fn rank(&mut self, class: usize, now: Micros) {
         if std::mem::take(&mut self.set_stale) || now >= self.set_until {
             self.choose_set(now);
-            self.change();
+            self.stale.fill(true);
         }
         if !std::mem::take(&mut self.stale[class]) {
             return;
@@ -658,28 +659,25 @@
     }
 
     fn on_started(&mut self, now: Micros, request: RequestId, attempt: u32, worker: WorkerId) {
+        let kind = self.worker_mut(worker).entry.kind;
+        let usual = self.kinds[kind].wait;
         let w = self.worker_mut(worker);
         w.alive = now;
-        let Some(a) = w.in_flight.iter_mut().find(|a| a.request == request && a.number == attempt) else {
-            return;
-        };
+        let mut out = w.in_flight.iter_mut();
+        let Some(a) = out.find(|a| a.request == request && a.number == attempt) else { return };
         if a.started.is_none() {
-            a.started = Some(now);
-            let waited = (now - a.sent) as f64;
-            let (class, width, before) = (a.class, a.width, a.sent - 3 * START_GRACE);
-            // Jobs mostly start in order, but for narrower ones: what was overtaken has hardly come.
-            let passed = |b: &&mut Attempt| b.width <= width && b.sent < before;
-            let passed = w.in_flight.iter_mut().filter(passed).filter(|b| b.started.is_none());
-            passed.for_each(|b| b.lost = true);
+            (a.started, a.lost) = (Some(now), false);
+            let (class, width, sent, waited) = (a.class, a.width, a.sent, (now - a.sent) as f64);
+            // Jobs mostly start in order, but for narrower ones: what waits far too long by then never came.
+            let passed = |b: &&mut Attempt| b.started.is_none() && b.width <= width && b.sent < sent;
+            let long = |b: &&mut Attempt| stalled(now - b.sent, usual[b.class.min(3)], 1);
+            w.in_flight.iter_mut().filter(passed).filter(long).for_each(|b| b.lost = true);
             let fresh = w.fresh(class, now);
             w.wait[class] = ((w.wait[class].0 * fresh + waited) / (1.0 + fresh), now);
-            let kind = w.entry.kind;
-            let usual = &mut self.kinds[kind].wait[class.min(3)];
-            *usual += (waited - *usual) / USUAL_HISTORY;
+            self.kinds[kind].wait[class.min(3)] += (waited - usual[class.min(3)]) / USUAL_HISTORY;
         }
         let w = self.worker_mut(worker);
         let running: f64 = w.in_flight.iter().filter(|a| a.started.is_some()).map(|a| a.width).sum();
-        let kind = w.entry.kind;
         self.kinds[kind].slots = self.kinds[kind].slots.max(running);
         if let Some(r) = self.requests.get_mut(&request) {
             r.started |= r.out == Some((worker, attempt));
@@ -900,7 +898,7 @@
                     self.kinds[kind].epc.add(ratio, 2.0 * HISTORY);
                 }
                 self.estimate(id);
-                self.change();
+                self.stale.fill(true);
             }
             Outcome::Moot | Outcome::Unusable => {}
             // A connection has broken, not a worker that lives: of one that has died the next connect tells.
@@ -928,7 +926,7 @@
                     *f = ((f.0 + 1).min(R_MAX), now + (TRIAL_PAUSE << (f.0 + 1 + longer)));
                 }
                 self.set_stale = true;
-                self.change();
+                self.stale.fill(true);
             }
             _ => self.blame(now, id),
         }
@@ -941,7 +939,7 @@
         let w = self.worker_mut(id);
         w.timeouts = (w.timeouts + 1).min(R_MAX);
         w.trial_at = now + (TRIAL_PAUSE << w.timeouts.saturating_sub(shared));
-        self.change();
+        self.stale.fill(true);
     }
 
     fn sound(&self, id: WorkerId) -> bool {
@@ -963,11 +961,13 @@
     fn trial_due(&self, r: &Request, id: WorkerId, now: Micros) -> bool {
         let w = self.worker(id);
         let left = r.wanted.saturating_sub(now) as f64 - r.size / self.epc(w, r.class);
-        let pause = (TRIAL_PAUSE << (w.unstarted().count().clamp(1, 5) - 1)) as f64;
-        let usual = |a: &Attempt| self.kind(w).wait[a.class.min(3)];
-        let long = |a: &Attempt| usual(a) > 0.0 && (now - a.sent) as f64 > STALLED * usual(a) + pause;
+        let pauses = w.unstarted().count();
+        let usual = |a: &Attempt| self.kind(w).wait[a.class.min(3)].max(w.wait[a.class].0);
+        let long = |a: &Attempt| w.alive > a.sent + START_GRACE && stalled(now - a.sent, usual(a), pauses);
         now >= w.trial_at
-            && (w.unstarted().all(long) && w.unstarted().any(|a| a.width <= r.width)
+            && (self.held.is_empty()
+                && w.in_flight.iter().all(|a| a.lost || a.started.is_none() && long(a))
+                && w.unstarted().any(|a| a.width <= r.width)
                 || self.excess(w) > 0
                     && w.in_flight.is_empty()
                     && w.wait_now(r.class, now, 0.0) <= left.max(0.0))
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -575,8 +575,12 @@
             start(&mut desk, S + n * 100 * MS + 51 * MS, request, worker);
             desk.end(S + n * 100 * MS + 71 * MS, request, (worker, 0), Outcome::Ok);
         }
+        // Another that is on its way shows that the worker lives.
+        let (other, _) = desk.arrive(2 * S - 2 * MS, 0, 20 * MS);
+        start(&mut desk, 2 * S - MS, other, worker);
         let (_, actions) = desk.arrive(2 * S, lost_class, 20 * MS);
         assert_eq!(sends(&actions).len(), 1);
+        desk.end(2 * S + 60 * MS, other, (worker, 0), Outcome::Ok);
         let (early, actions) = desk.arrive(2 * S + 100 * MS, 0, 20 * MS);
         assert!(sends(&actions).is_empty(), "it may stand in a queue so far");
         desk.tell(2 * S + 110 * MS, Event::Lapsed(early));
