--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,8 +37,6 @@
 const HINT_ERROR: f64 = 2.0;
 /// The first pause before a failed worker is tried again; it doubles with each further time-out.
 const TRIAL_PAUSE: Micros = 250_000;
-/// Where waits are short, one that has waited for so many of them, and that pause, may be lost on its way.
-const STALLED: f64 = 10.0;
 /// Doublings of that pause where a trial that finds the worker full still costs the job.
 const LOSSY_TRIALS: u32 = 3;
 /// The share of a cold worker's budget that is used: hints are rough and the other dispatchers blind.
@@ -88,7 +86,6 @@
     sent: Micros,
     wanted: Micros,
     started: Option<Micros>,
-    lost: bool,
 }
 
 /// What this dispatcher knows of a worker.
@@ -125,7 +122,7 @@
     }
 
     fn unstarted(&self) -> impl Iterator<Item = &Attempt> {
-        self.in_flight.iter().filter(|a| a.started.is_none() && !a.lost)
+        self.in_flight.iter().filter(|a| a.started.is_none())
     }
 }
 
@@ -151,12 +148,6 @@
     check: Micros,
 }
 
-/// Whether one that has not started has waited for too long, where waits are usually short.
-fn stalled(waited: Micros, usual: f64, pauses: usize) -> bool {
-    let short = (1.0..3.0 * START_GRACE as f64).contains(&usual);
-    short && waited as f64 > STALLED * usual + (TRIAL_PAUSE * pauses as Micros) as f64
-}
-
 /// Decides for one dispatcher.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -225,7 +216,9 @@
                 self.on_started(now, request, attempt, worker);
                 self.requests.get_mut(&request).into_iter().for_each(|r| r.streaming = true);
             }
-            event @ Event::Outcome { .. } => self.on_outcome(now, event, actions),
+            Event::Outcome { request, attempt, worker, outcome, took, closed, .. } => {
+                self.on_outcome(now, (request, attempt, worker), outcome, took, closed, actions);
+            }
             Event::Written { request, attempt, worker } => {
                 let mut out = self.worker_mut(worker).in_flight.iter_mut();
                 out.find(|a| a.request == request && a.number == attempt)
@@ -306,7 +299,7 @@
         let all = (0..self.workers.len() as u32).map(WorkerId);
         self.ready = all.filter(|&id| self.worker(id).ready()).collect();
         self.set_stale = true;
-        self.stale.fill(true);
+        self.change();
     }
 
     fn on_entry(&mut self, entry: Entry) {
@@ -374,7 +367,7 @@
         if n > 1.3 * self.n as f64 || n < 0.7 * self.n as f64 {
             self.n = n as usize;
             self.set_stale = true;
-            self.stale.fill(true);
+            self.change();
         }
     }
 
@@ -438,11 +431,16 @@
         c / (1.0 + ALPHA * (self.excess(w) as f64 + overdue.count() as f64))
     }
 
+    /// Something that ranks workers has changed.
+    fn change(&mut self) {
+        self.stale.fill(true);
+    }
+
     /// Ranks the workers for a class again if anything that ranks them has changed.
     fn rank(&mut self, class: usize, now: Micros) {
         if std::mem::take(&mut self.set_stale) || now >= self.set_until {
             self.choose_set(now);
-            self.stale.fill(true);
+            self.change();
         }
         if !std::mem::take(&mut self.stale[class]) {
             return;
@@ -476,7 +474,7 @@
         let c = self.penalised(w, r.class, now);
         let slots = self.kind(w).slots;
         let (mut cost, mut width) = (0.0, 0.0);
-        for a in w.in_flight.iter().filter(|a| !a.lost) {
+        for a in &w.in_flight {
             let done = a.started.map_or(0.0, |at| (now - at) as f64 * c);
             cost += a.width * (a.size - done).max(a.size * 0.1);
             width += a.width;
@@ -642,7 +640,7 @@
         let cold = self.warmth(w, now) < 1.0;
         let debt = if cold { self.cold_debt(worker, now).max(0.0) + self.cold_cost(r) } else { 0.0 };
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let (request, number, started, lost) = (id, r.attempts, None, false);
+        let (request, number, started) = (id, r.attempts, None);
         let Request { class, size, width, wanted, key, .. } = *r;
         r.attempts += 1;
         r.out = Some((worker, number));
@@ -652,42 +650,46 @@
         let kept = (KEPT_PER_SLOT * self.kind(self.worker(worker)).slots).ceil() as usize;
         let w = &mut self.workers[worker.0 as usize];
         w.keys.sent(key, kept);
-        w.in_flight.push(Attempt { request, number, class, size, width, sent: now, wanted, started, lost });
+        w.in_flight.push(Attempt { request, number, class, size, width, sent: now, wanted, started });
         (w.cold_debt, w.cold_at) = (debt, now);
         actions.push(Action::Send { request: id, worker, timeout: 0 });
         self.check_at(id, check);
     }
 
     fn on_started(&mut self, now: Micros, request: RequestId, attempt: u32, worker: WorkerId) {
-        let kind = self.worker_mut(worker).entry.kind;
-        let usual = self.kinds[kind].wait;
         let w = self.worker_mut(worker);
         w.alive = now;
-        let mut out = w.in_flight.iter_mut();
-        let Some(a) = out.find(|a| a.request == request && a.number == attempt) else { return };
+        let Some(a) = w.in_flight.iter_mut().find(|a| a.request == request && a.number == attempt) else {
+            return;
+        };
         if a.started.is_none() {
-            (a.started, a.lost) = (Some(now), false);
-            let (class, width, sent, waited) = (a.class, a.width, a.sent, (now - a.sent) as f64);
-            // Jobs mostly start in order, but for narrower ones: what waits far too long by then never came.
-            let passed = |b: &&mut Attempt| b.started.is_none() && b.width <= width && b.sent < sent;
-            let long = |b: &&mut Attempt| stalled(now - b.sent, usual[b.class.min(3)], 1);
-            w.in_flight.iter_mut().filter(passed).filter(long).for_each(|b| b.lost = true);
+            a.started = Some(now);
+            let waited = (now - a.sent) as f64;
+            let class = a.class;
             let fresh = w.fresh(class, now);
             w.wait[class] = ((w.wait[class].0 * fresh + waited) / (1.0 + fresh), now);
-            self.kinds[kind].wait[class.min(3)] += (waited - usual[class.min(3)]) / USUAL_HISTORY;
+            let kind = w.entry.kind;
+            let usual = &mut self.kinds[kind].wait[class.min(3)];
+            *usual += (waited - *usual) / USUAL_HISTORY;
         }
         let w = self.worker_mut(worker);
         let running: f64 = w.in_flight.iter().filter(|a| a.started.is_some()).map(|a| a.width).sum();
+        let kind = w.entry.kind;
         self.kinds[kind].slots = self.kinds[kind].slots.max(running);
         if let Some(r) = self.requests.get_mut(&request) {
             r.started |= r.out == Some((worker, attempt));
         }
     }
 
-    fn on_outcome(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        let Event::Outcome { request: id, attempt: number, worker, outcome, took, closed, .. } = event else {
-            return;
-        };
+    fn on_outcome(
+        &mut self,
+        now: Micros,
+        (id, number, worker): (RequestId, u32, WorkerId),
+        outcome: Outcome,
+        took: Micros,
+        closed: bool,
+        actions: &mut Vec<Action>,
+    ) {
         let w = self.worker_mut(worker);
         if let Some(i) = w.in_flight.iter().position(|a| a.request == id && a.number == number) {
             let attempt = w.in_flight.swap_remove(i);
@@ -713,7 +715,10 @@
 
     /// Looks at a request again at the time set for it.
     fn check(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id).filter(|r| !r.streaming) else { return };
+        let Some(r) = self.requests.get(&id) else { return };
+        if r.streaming {
+            return;
+        }
         if now >= r.due {
             // An outstanding attempt is answered by its own time-out, which comes within the slack.
             if r.out.is_none() {
@@ -790,7 +795,8 @@
         let Some(r) = self.requests.remove(&id) else { return };
         self.checks.remove(&(r.check, id));
         self.held.retain(|h| h.1 != id);
-        let out = r.out.filter(|_| self.settings.limits.cancel && !r.streaming && !r.cancelled);
+        let may = self.settings.limits.cancel && !r.streaming && !r.cancelled;
+        let out = r.out.filter(|_| may);
         actions.extend(out.map(|(_, attempt)| Action::Cancel { request: id, attempt }));
     }
 
@@ -898,7 +904,7 @@
                     self.kinds[kind].epc.add(ratio, 2.0 * HISTORY);
                 }
                 self.estimate(id);
-                self.stale.fill(true);
+                self.change();
             }
             Outcome::Moot | Outcome::Unusable => {}
             // A connection has broken, not a worker that lives: of one that has died the next connect tells.
@@ -926,7 +932,7 @@
                     *f = ((f.0 + 1).min(R_MAX), now + (TRIAL_PAUSE << (f.0 + 1 + longer)));
                 }
                 self.set_stale = true;
-                self.stale.fill(true);
+                self.change();
             }
             _ => self.blame(now, id),
         }
@@ -939,7 +945,7 @@
         let w = self.worker_mut(id);
         w.timeouts = (w.timeouts + 1).min(R_MAX);
         w.trial_at = now + (TRIAL_PAUSE << w.timeouts.saturating_sub(shared));
-        self.stale.fill(true);
+        self.change();
     }
 
     fn sound(&self, id: WorkerId) -> bool {
@@ -956,21 +962,14 @@
         self.runs(id, class) && self.worker(id).full.get(class).is_none_or(|f| f.1 <= now)
     }
 
-    /// Whether one job may try a worker that has failed, or where one waits for too long: nothing else would
-    /// show that it is back, or that it starts others.
+    /// Whether one job may try a worker that has failed: nothing else would show that it is back.
     fn trial_due(&self, r: &Request, id: WorkerId, now: Micros) -> bool {
         let w = self.worker(id);
         let left = r.wanted.saturating_sub(now) as f64 - r.size / self.epc(w, r.class);
-        let pauses = w.unstarted().count();
-        let usual = |a: &Attempt| self.kind(w).wait[a.class.min(3)].max(w.wait[a.class].0);
-        let long = |a: &Attempt| w.alive > a.sent + START_GRACE && stalled(now - a.sent, usual(a), pauses);
-        now >= w.trial_at
-            && (self.held.is_empty()
-                && w.in_flight.iter().all(|a| a.lost || a.started.is_none() && long(a))
-                && w.unstarted().any(|a| a.width <= r.width)
-                || self.excess(w) > 0
-                    && w.in_flight.is_empty()
-                    && w.wait_now(r.class, now, 0.0) <= left.max(0.0))
+        self.excess(w) > 0
+            && now >= w.trial_at
+            && w.in_flight.is_empty()
+            && w.wait_now(r.class, now, 0.0) <= left.max(0.0)
     }
 
     // ---- Admission ----
