One wait for the lifecycle's times, one linger, and a parsed value that nobody read goes

Three loops that follow the lifecycle to a time (sending idle links away, hurrying requests, the end of accepting) are Front::reached now. The operators' address uses the linger of wire::Link, which takes its bound from the caller; both bounds are as they were. Config::listen_fd was parsed and never read; the check of RELAY_FD stays. A From for one call, a parameter that always said the same, and two arms of one answer are gone. Its callers' sockets have Nagle off from the answer on, as all links have; nothing else behaves otherwise, but that a node of its own listener logs 'stopping' when it stops accepting, 0.55 s after 'closing'.

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -80,8 +80,6 @@
     pub discovery: SocketAddr,
     /// Where the operators call; `None`: nowhere.
     pub ops: Option<SocketAddr>,
-    /// The descriptor at which the platform hands over the clients' listening socket, if it holds that.
-    pub listen_fd: Option<i32>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Descriptors the process may hold.
@@ -200,7 +198,7 @@
             (None, None) => None,
             (_, of_file) => keep(&mut faults, address(told("RELAY_OPS", "ops", of_file))),
         };
-        let listen_fd = keep(&mut faults, listen_fd(env)).flatten();
+        keep(&mut faults, listen_fd(env));
         let seed = keep(&mut faults, seed(file.seed));
         if file.limits.sockets < LEAST_SOCKETS {
             faults.push(Error::new("limits.sockets", format!("fewer than {LEAST_SOCKETS}")));
@@ -225,7 +223,6 @@
             listen,
             discovery,
             ops,
-            listen_fd,
             seed,
             sockets: file.limits.sockets,
             memory_mb: file.limits.memory_mb,
--- a/front/http1/src/front.rs
+++ b/front/http1/src/front.rs
@@ -1,5 +1,6 @@
 //! What the client links of one front share.
 
+use crate::intake::WHOLE;
 use event_listener::Event;
 use futures_lite::future::or;
 use sorrelhaven_config::{ClassName, Config};
@@ -67,31 +68,35 @@
         })
     }
 
+    /// Waits until the time that `time` finds in the node's lifecycle has come, through all changes of that.
+    pub async fn reached(&self, time: impl Fn(&Lifecycle) -> Option<Instant>) {
+        loop {
+            let change = self.standing.change();
+            match self.standing.look(&time) {
+                None => change.await,
+                Some(at) => {
+                    if by(at, change).await.is_none() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
     /// Ends the client links that stand idle whenever the node has emptied for so long, for ever.
     pub async fn send_away(&self) {
         loop {
+            self.reached(Lifecycle::idle_until).await;
             let change = self.standing.change();
-            let Some(at) = self.standing.look(Lifecycle::idle_until) else {
-                change.await;
-                continue;
-            };
-            if by(at, change).await.is_none() {
-                let change = self.standing.change();
-                self.leave.notify(usize::MAX);
-                change.await;
-            }
+            self.leave.notify(usize::MAX);
+            change.await;
         }
     }
 
     /// What comes of `work`, which reads a request whose first byte could come at `first`; `None` where that takes
-    /// longer than `until`, or than a node that empties can wait.
-    pub(crate) async fn whole<T>(
-        &self,
-        first: Instant,
-        until: Instant,
-        work: impl Future<Output = T>,
-    ) -> Option<T> {
-        or(by(until, work), async {
+    /// longer than a request may, or than a node that empties can wait.
+    pub(crate) async fn whole<T>(&self, first: Instant, work: impl Future<Output = T>) -> Option<T> {
+        or(by(first + WHOLE, work), async {
             self.hurry(first).await;
             None
         })
@@ -101,17 +106,7 @@
     /// Waits until a node that empties can wait no longer for a request whose first byte could come at `first`. One
     /// that comes later is none of those that it waits for.
     pub(crate) async fn hurry(&self, first: Instant) {
-        loop {
-            let change = self.standing.change();
-            match self.standing.look(Lifecycle::whole_by).filter(|by| *by > first) {
-                None => change.await,
-                Some(at) => {
-                    if by(at, change).await.is_none() {
-                        return;
-                    }
-                }
-            }
-        }
+        self.reached(|node| node.whole_by().filter(|by| *by > first)).await;
     }
 
     /// Has as many client links give way as there are beyond the bound on them.
--- a/front/http1/src/intake.rs
+++ b/front/http1/src/intake.rs
@@ -37,12 +37,6 @@
     Ended(End),
 }
 
-impl From<End> for Came {
-    fn from(end: End) -> Came {
-        Came::Ended(end)
-    }
-}
-
 impl Intake {
     /// Takes the body in until it is whole, or until it is not kept any more.
     pub async fn keep(self, front: &Front, link: &mut Link) -> Came {
--- a/front/http1/src/link.rs
+++ b/front/http1/src/link.rs
@@ -19,6 +19,8 @@
 const IDLE: Duration = Duration::from_secs(120);
 /// How long a link that is given up is read on, so that the client sees the answer and not a reset.
 const LINGER: Duration = Duration::from_millis(500);
+/// The most that is still taken from such a link, in bytes.
+const LINGER_MOST: usize = 4 * BODY_MOST;
 
 /// One client link: requests one after the other, until either side ends it. Until it has carried a job it
 /// must hurry, and gives way to others.
@@ -27,7 +29,7 @@
     let mut silent = Some(front.close_silent.listen());
     while arrives(front, link, accepted + WHOLE, &mut silent).await {
         let first = if silent.is_some() { accepted } else { Instant::now() };
-        let read = or(front.whole(first, first + WHOLE, read(front, link)), async {
+        let read = or(front.whole(first, read(front, link)), async {
             unwanted(&mut silent).await;
             Some(Err(Fault::Closed))
         });
@@ -35,7 +37,7 @@
             None => Some((Response::fault(408, "the request came too slowly"), false)),
             Some(Err(fault)) => unread(fault).map(|response| (response, false)),
             Some(Ok(Read { asked: Err(response), body, expects, keeps_alive })) => {
-                let dropped = front.whole(first, first + WHOLE, drop_body(link, body, expects));
+                let dropped = front.whole(first, drop_body(link, body, expects));
                 let dropped = or(dropped, async {
                     unwanted(&mut silent).await;
                     Some(Err(Fault::Closed))
@@ -65,7 +67,7 @@
         }
         if response.close {
             let until = Instant::now() + LINGER;
-            or(async { _ = by(until, link.linger()).await }, unwanted(&mut silent)).await;
+            or(async { _ = by(until, link.linger(LINGER_MOST)).await }, unwanted(&mut silent)).await;
             return;
         }
         // A client that sends without a pause must not keep the others waiting.
@@ -126,13 +128,15 @@
         return None;
     }
     let intake = Intake { body, writer, first, due };
-    let came = or(intake.keep(front, link), async {
-        or(async { (unwanted(silent).await, End::ClientBroke).1 }, async {
-            (front.hurry(first).await, End::TooSlow).1
-        })
-        .await
-        .into()
-    });
+    let gives_up = async {
+        unwanted(silent).await;
+        End::ClientBroke
+    };
+    let hurried = async {
+        front.hurry(first).await;
+        End::TooSlow
+    };
+    let came = or(intake.keep(front, link), async { Came::Ended(or(gives_up, hurried).await) });
     let intake = match came.await {
         Came::Whole => None,
         Came::Unkept(intake) => Some(intake),
--- a/lifecycle/src/lib.rs
+++ b/lifecycle/src/lib.rs
@@ -124,12 +124,9 @@
             (Call::Drain, phase @ Phase::Stopping { .. }) => {
                 (phase, Reply::Yes("stopping, it empties for good"))
             }
-            (Call::Resume, Phase::Starting { drain: true }) => {
+            (Call::Resume, Phase::Starting { .. }) => {
                 (Phase::Starting { drain: false }, Reply::Yes("starting, to serve once up"))
             }
-            (Call::Resume, phase @ Phase::Starting { drain: false }) => {
-                (phase, Reply::Yes("starting, to serve once up"))
-            }
             (Call::Resume, Phase::Serving) => (Phase::Serving, Reply::Yes("serving already")),
             (Call::Resume, Phase::Drained { .. }) => (Phase::Serving, Reply::Yes("serving")),
             (Call::Resume, phase @ Phase::Stopping { .. }) => (phase, Reply::No("stopping")),
@@ -162,7 +159,7 @@
 
     /// Whether links on which nothing has come are over: the node has been told to end and clients have had their time.
     pub fn closed(&self, now: Instant) -> bool {
-        matches!(self.0, Phase::Stopping { since } if now >= since + STOP_IDLE)
+        matches!(self.0, Phase::Stopping { .. }) && self.idle_until().is_some_and(|at| now >= at)
     }
 
     /// By when a request that has begun must be whole, whatever else it must keep to.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -298,19 +298,12 @@
     /// Waits until no more client links are to be accepted. Clients still come for a while after the node was told to
     /// stop, but where another process shares the queue it takes them, and has more time to answer them.
     async fn accepted_enough(&self, queue: Queue) {
-        loop {
-            let change = self.standing.change();
-            match self.standing.look(Lifecycle::phase) {
-                Phase::Stopping { since } => {
-                    info!(?queue, "stopping");
-                    if queue == Queue::Own {
-                        let at = self.standing.look(Lifecycle::idle_until).unwrap_or(since);
-                        Timer::at(at).await;
-                    }
-                    return;
-                }
-                Phase::Starting { .. } | Phase::Serving | Phase::Drained { .. } => change.await,
-            }
-        }
+        let enough = |node: &Lifecycle| match (node.phase(), queue) {
+            (Phase::Stopping { .. }, Queue::Own) => node.idle_until(),
+            (Phase::Stopping { since }, Queue::Shared) => Some(since),
+            (Phase::Starting { .. } | Phase::Serving | Phase::Drained { .. }, _) => None,
+        };
+        self.front.reached(enough).await;
+        info!(?queue, "stopping");
     }
 }
--- a/ops/src/serve.rs
+++ b/ops/src/serve.rs
@@ -5,13 +5,13 @@
 use crate::places::gives_way;
 use async_executor::Task;
 use async_io::{Async, Timer};
+use futures_lite::AsyncReadExt;
 use futures_lite::future::yield_now;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use sorrelhaven_engine::Tasks;
-use sorrelhaven_wire::by;
+use sorrelhaven_wire::{Link, by};
 use std::collections::VecDeque;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{debug, warn};
@@ -75,9 +75,9 @@
     let Some(line) = line.unwrap_or(Some(Err(Unread::TooSlow))) else { return };
     debug!(?line, "an operator calls");
     let answer = desk.answer(line, Instant::now());
-    let written = by(Instant::now() + TAKEN, stream.write_all(answer.as_bytes())).await;
-    if matches!(written, Some(Ok(()))) && stream.get_ref().shutdown(Shutdown::Write).is_ok() {
-        _ = by(Instant::now() + LINGER, drain(&mut stream)).await;
+    let Ok(mut link) = Link::new(stream) else { return };
+    if by(Instant::now() + TAKEN, link.write(answer.as_bytes())).await == Some(Ok(())) {
+        _ = by(Instant::now() + LINGER, link.linger(LINGER_MOST)).await;
     }
 }
 
@@ -96,14 +96,3 @@
         }
     }
 }
-
-/// Takes what still comes, up to a bound.
-async fn drain(stream: &mut Async<TcpStream>) {
-    let (mut piece, mut taken) = ([0; 4096], 0);
-    while taken < LINGER_MOST
-        && let Ok(n @ 1..) = stream.read(&mut piece).await
-    {
-        taken += n;
-        yield_now().await;
-    }
-}
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -20,9 +20,6 @@
     static SCRATCH: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
 }
 
-/// The most that is still taken from a connection that is given up.
-const LINGER_MOST: usize = 4 * BODY_MOST;
-
 /// A connection and what has come on it and was not used yet.
 pub struct Link {
     stream: Async<TcpStream>,
@@ -101,11 +98,12 @@
         self.stream.write_all(bytes).await.map_err(|_| Fault::Broken)
     }
 
-    /// Ends the sending, and takes some of what still comes, so that the last answer is not lost to a reset.
-    pub async fn linger(&mut self) {
+    /// Ends the sending, and takes some of what still comes, about `most` bytes, so that the last answer is not lost to
+    /// a reset.
+    pub async fn linger(&mut self, most: usize) {
         if self.stream.get_ref().shutdown(std::net::Shutdown::Write).is_ok() {
             let mut taken = 0;
-            while taken < LINGER_MOST {
+            while taken < most {
                 taken += std::mem::take(&mut self.buffer).len();
                 if self.fill().await.is_err() {
                     return;
