The host group's lists may come indented over many lines, and hold 4 MiB

Seen: a list laid out over several lines was read line by line, so its first line, '{', was malformed; the node asked for the whole list, which came indented as well, and stayed on its old list for good. At fault: engine/src/host_group.rs, one_watch, serde_json::from_slice on each line of Lines::next; the bound of 1 MiB a line. wire/src/objects.rs now cuts the body into objects and drops the white space between their parts; each piece that comes counts as a sign of life, so a large list that comes slowly is not taken for silence. A torn object is told by a blank line inside it. A list at fault is named by its key. Tests: 1,025 executors whole and indented in pieces, indented by fetch, and as 1,024 changes. On the code before, both new tests fail (the node asks for /registry/instances over and over); with this they pass.

--- a/config/src/hosts.rs
+++ b/config/src/hosts.rs
@@ -71,6 +71,15 @@
 }
 
 impl HostList {
+    /// Reads a list, whole or of changes.
+    ///
+    /// # Errors
+    /// The text is no list; the error names the key.
+    pub fn read(text: &[u8]) -> Result<HostList, Error> {
+        let mut json = serde_json::Deserializer::from_slice(text);
+        serde_path_to_error::deserialize(&mut json).map_err(|e| Error::new(e.path().to_string(), e.inner()))
+    }
+
     /// Whether every entry reads in these words; the error names the key.
     pub fn check(&self, names: &Names) -> Result<(), Error> {
         for (i, host) in self.hosts.iter().enumerate() {
--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -4,8 +4,8 @@
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
-use sorrelhaven_config::{HostList, Names};
-use sorrelhaven_wire::{Fault, Head, Lines, Link, Start, by};
+use sorrelhaven_config::{Error, HostList, Names};
+use sorrelhaven_wire::{Came, Fault, Head, Link, Objects, Start, by};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
@@ -14,8 +14,8 @@
 use stepusher::{Entry, WorkerId};
 use tracing::{info, warn};
 
-/// The most that one line of the list may hold.
-const LINE_MOST: usize = 1024 * 1024;
+/// The most that one list may hold, white space not counted: 1 KiB an entry for 4,096 executors.
+const LIST_MOST: usize = 4 * 1024 * 1024;
 /// A watch says something every 2 s; one that does not is taken to be broken.
 const SILENCE: Duration = Duration::from_secs(3);
 /// The longest pause before a broken watch is asked for again doubles from the first to the last.
@@ -72,7 +72,7 @@
     Silent,
     Refused(u16),
     Unreadable(Fault),
-    Malformed(serde_json::Error),
+    Malformed(Error),
 }
 
 impl fmt::Display for WatchEnd {
@@ -81,8 +81,12 @@
             WatchEnd::Unreachable => f.write_str("it could not be reached"),
             WatchEnd::Silent => f.write_str("it fell silent"),
             WatchEnd::Refused(status) => write!(f, "it answered {status}"),
+            WatchEnd::Unreadable(Fault::BodyTooLarge) => write!(f, "a list of more than {LIST_MOST} bytes"),
+            WatchEnd::Unreadable(Fault::Malformed) => {
+                f.write_str("a list that is no JSON object, or was torn")
+            }
             WatchEnd::Unreadable(fault) => write!(f, "it could not be read: {fault:?}"),
-            WatchEnd::Malformed(error) => write!(f, "a malformed line: {error}"),
+            WatchEnd::Malformed(error) => write!(f, "a malformed list: {error}"),
         }
     }
 }
@@ -143,7 +147,7 @@
             };
             counters.watches_broken.add();
             warn!(%end, "the watch on the host group ended");
-            if matches!(end, WatchEnd::Malformed(_)) {
+            if matches!(end, WatchEnd::Malformed(_) | WatchEnd::Unreadable(Fault::Malformed)) {
                 after = None;
             }
             if begun.elapsed() > 2 * SILENCE {
@@ -183,24 +187,24 @@
         let begin = async {
             link.write(request.as_bytes()).await?;
             let head = link.head(Head::answer).await?;
-            Ok((head.start.clone(), Lines::new(head.body()?, LINE_MOST)))
+            Ok((head.start.clone(), Objects::new(head.body()?, LIST_MOST)))
         };
         let begun = by(Instant::now() + SILENCE, begin).await.ok_or(WatchEnd::Silent)?;
-        let (start, mut lines) = begun.map_err(WatchEnd::Unreadable)?;
+        let (start, mut lists) = begun.map_err(WatchEnd::Unreadable)?;
         if let Start::Answer { status } = start
             && status != 200
         {
             return Err(WatchEnd::Refused(status));
         }
         loop {
-            let next = by(Instant::now() + SILENCE, lines.next(&mut link)).await.ok_or(WatchEnd::Silent)?;
+            let next = by(Instant::now() + SILENCE, lists.next(&mut link)).await.ok_or(WatchEnd::Silent)?;
             match next.map_err(WatchEnd::Unreadable)? {
                 // The fetched list is complete, and a watch goes on from it; a watch itself has no end.
-                None if query.is_empty() && after.is_some() => break,
-                None => return Err(WatchEnd::Unreadable(Fault::Closed)),
-                Some(line) if line.trim_ascii().is_empty() => {}
-                Some(line) => {
-                    let list: HostList = serde_json::from_slice(&line).map_err(WatchEnd::Malformed)?;
+                Came::End if query.is_empty() && after.is_some() => break,
+                Came::End => return Err(WatchEnd::Unreadable(Fault::Closed)),
+                Came::Part => {}
+                Came::Object(text) => {
+                    let list = HostList::read(&text).map_err(WatchEnd::Malformed)?;
                     info!(seq = list.seq, whole = list.whole, hosts = list.hosts.len(), "host group");
                     tell(&list);
                     *after = Some(list.seq);
--- a/engine/src/tests/watch.rs
+++ b/engine/src/tests/watch.rs
@@ -1,8 +1,10 @@
 //! The watch on the host group against an agent that answers, breaks off, talks nonsense and falls silent.
 
 use super::shared;
+use crate::Engine;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
 use stepusher::WorkerId;
 
 /// Reads one request and gives its target.
@@ -31,11 +33,29 @@
 
 const OPEN: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-#[test]
-fn a_watch_that_ends_is_asked_for_again_and_the_old_list_kept() {
+/// Runs an engine that watches the agent that `script` plays, until the script is over.
+fn watched(script: impl FnOnce(TcpListener) + Send + 'static) -> Rc<Engine> {
     let agent = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = agent.local_addr().expect("its address");
-    let agent = std::thread::spawn(move || {
+    let agent = std::thread::spawn(move || script(agent));
+    let engine = shared::engine("127.0.0.1:1".parse().expect("an address"));
+    let (done, stop) = async_channel::bounded::<()>(1);
+    let waiter = std::thread::spawn(move || {
+        let end = agent.join();
+        drop(done);
+        end
+    });
+    let (_moves, never) = async_channel::unbounded();
+    let at = engine.clone();
+    engine.tasks.spawn_urgent(async move { at.watch(address, 1, never).await });
+    shared::run(&engine, async { _ = stop.recv().await });
+    waiter.join().expect("the waiter").expect("the agent saw what it should");
+    engine
+}
+
+#[test]
+fn a_watch_that_ends_is_asked_for_again_and_the_old_list_kept() {
+    let engine = watched(|agent| {
         let next = || agent.accept().expect("the node comes").0;
         // It goes on from the list in the configuration, and takes an odd entry for what it is.
         let mut stream = next();
@@ -50,6 +70,7 @@
         assert_eq!(target(&mut stream), "/registry/instances?watch=1&after=5");
         stream.write_all(OPEN).expect("the node reads");
         say(&mut stream, "{\"seq\":6,\n");
+        say(&mut stream, "\n");
         let mut stream = next();
         assert_eq!(target(&mut stream), "/registry/instances");
         let whole = list(7, true, &host("s-3", 3));
@@ -61,19 +82,73 @@
         let mut again = next();
         assert_eq!(target(&mut again), "/registry/instances?watch=1&after=7");
     });
-    let engine = shared::engine("127.0.0.1:1".parse().expect("an address"));
-    let (done, stop) = async_channel::bounded::<()>(1);
-    let waiter = std::thread::spawn(move || {
-        let end = agent.join();
-        drop(done);
-        end
-    });
-    let (_moves, never) = async_channel::unbounded();
-    let at = engine.clone();
-    engine.tasks.spawn_urgent(async move { at.watch(address, 1, never).await });
-    shared::run(&engine, async { _ = stop.recv().await });
-    waiter.join().expect("the waiter").expect("the agent saw what it should");
     let port = |n: u32| engine.ways.host_group.address(WorkerId(n)).map(|a| a.port());
     assert_eq!([port(0), port(1), port(2), port(3)], [Some(1), Some(2), Some(3), None]);
     assert_eq!(engine.counters.lists.get(), 2);
 }
+
+/// So many executors must be no trouble.
+const MANY: u16 = 1025;
+
+/// A list laid out as by a printer that indents.
+fn indented(list: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(list).expect("a list");
+    format!("{value:#}\n")
+}
+
+/// How many executors take work, and how many do not.
+fn counted(engine: &Engine) -> [usize; 2] {
+    let census = engine.desk.census();
+    [(census.known - census.draining) as usize, census.draining as usize]
+}
+
+#[test]
+fn a_watch_takes_1025_executors_indented_or_as_changes() {
+    let engine = watched(|agent| {
+        let mut stream = agent.accept().expect("the node comes").0;
+        assert_eq!(target(&mut stream), "/registry/instances?watch=1&after=1");
+        stream.write_all(OPEN).expect("the node reads");
+        let hosts: Vec<String> = (0..MANY).map(|n| host(&format!("s-{n}"), 1000 + n)).collect();
+        // The whole list in pieces that end anywhere.
+        for piece in indented(&list(2, true, &hosts.join(","))).as_bytes().chunks(700) {
+            say(&mut stream, std::str::from_utf8(piece).expect("text"));
+        }
+        say(&mut stream, "\n");
+        // All of them but one leave, a change for each, some of them indented and some in one piece with the next.
+        let mut changes = String::new();
+        for (n, host) in (0..MANY - 1).zip(&hosts) {
+            let change = list(3 + u64::from(n), false, &host.replace("in_service", "terminating"));
+            changes += &if n % 2 == 0 { indented(&change) } else { change };
+        }
+        say(&mut stream, &changes);
+        stream.shutdown(std::net::Shutdown::Write).expect("the node reads");
+        let mut again = agent.accept().expect("the node comes again").0;
+        assert_eq!(
+            target(&mut again),
+            format!("/registry/instances?watch=1&after={}", 2 + u64::from(MANY - 1))
+        );
+    });
+    assert_eq!(engine.counters.lists.get(), u64::from(MANY));
+    assert_eq!(counted(&engine), [1, usize::from(MANY) - 1]);
+}
+
+/// After a list that breaks off a whole one is asked for, and it may come indented too.
+#[test]
+fn a_whole_list_that_is_fetched_may_be_indented() {
+    let engine = watched(|agent| {
+        let next = || agent.accept().expect("the node comes").0;
+        let mut stream = next();
+        target(&mut stream);
+        stream.write_all(OPEN).expect("the node reads");
+        // A state that no executor has: the old list stays in force.
+        say(&mut stream, &indented(&list(2, true, &host("s-9", 9).replace("in_service", "odd"))));
+        let mut stream = next();
+        assert_eq!(target(&mut stream), "/registry/instances");
+        let hosts: Vec<String> = (0..MANY).map(|n| host(&format!("s-{n}"), 1000 + n)).collect();
+        let whole = indented(&list(3, true, &hosts.join(",")));
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len());
+        stream.write_all(head.as_bytes()).expect("the node reads");
+        assert_eq!(target(&mut stream), "/registry/instances?watch=1&after=3");
+    });
+    assert_eq!(counted(&engine), [usize::from(MANY), 0]);
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -20,6 +20,7 @@
 mod head;
 mod lines;
 mod link;
+mod objects;
 
 pub use body::Body;
 pub use deadline::by;
@@ -27,3 +28,4 @@
 pub use head::{HEAD_MOST, Head, Parsed, Start};
 pub use lines::Lines;
 pub use link::{BODY_MOST, Link};
+pub use objects::{Came, Objects};
