--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::desk::Desk;
-use crate::host_group::{self, Backoff, HostGroup};
+use crate::host_group::{self, Backoff, HostGroup, Source, Watch};
 use crate::job::Job;
 use crate::links::{Descriptors, Links};
 use crate::places::Places;
@@ -43,6 +43,7 @@
     requests: Rc<Requests>,
     probes: Receiver<WorkerId>,
     seed: u64,
+    source: Source,
 }
 
 impl Engine {
@@ -80,7 +81,9 @@
         let entries = ways.host_group.learn(&config.known);
         desk.tell(Event::Members(Members::Cached(entries)));
         let places = Places::new(tasks.clone());
-        Rc::new(Engine { tasks, desk, ways, bodies, places, counters, requests, probes, seed: config.seed })
+        let source = if config.settings.subscribe { Source::Asked } else { Source::Pushed };
+        let seed = config.seed;
+        Rc::new(Engine { tasks, desk, ways, bodies, places, counters, requests, probes, seed, source })
     }
 
     /// Starts what runs as long as the node: the watch on the host group, which goes on from version `seq` at
@@ -114,8 +117,9 @@
     /// Watches the host group, for ever.
     pub async fn watch(&self, discovery: SocketAddr, seq: u64, moved: Receiver<SocketAddr>) {
         let tell = |list: &HostList| self.tell(list);
-        let backoff = Backoff::new(self.seed);
-        host_group::watch(&self.counters, discovery, seq, moved, backoff, tell).await;
+        let (counters, source, backoff) = (&*self.counters, self.source, Backoff::new(self.seed));
+        let watch = Watch { counters, source, backoff };
+        host_group::watch(watch, discovery, seq, moved, tell).await;
     }
 
     /// Tells the module of a list, and drops the idle links to executors that are gone.
--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -3,16 +3,18 @@
 use crate::counters::Counters;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
-use futures_lite::future::or;
+use futures_lite::FutureExt;
+use futures_lite::future::{or, poll_fn};
 use sorrelhaven_config::{Error, HostList, Names};
 use sorrelhaven_wire::{Came, Fault, Head, Link, Objects, Start, by};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::net::{SocketAddr, TcpStream};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 use stepusher::{Entry, WorkerId};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// The most that one list may hold, white space not counted: 1 KiB an entry for 4,096 executors.
 const LIST_MOST: usize = 4 * 1024 * 1024;
@@ -22,6 +24,20 @@
 const PAUSES: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(16)];
 /// The least bound after a refusal: discovery is overrun, and each ask more holds up those that wait.
 const REFUSED: Duration = Duration::from_secs(4);
+/// Where lists are pushed, the agent on the node's own machine answers at once and at no cost, and what it has counts
+/// as told. One that is silent may speak again at any moment, so it is asked anew each time between these has passed...
+const ANEW: [Duration; 2] = [Duration::from_millis(400), Duration::from_millis(800)];
+/// ...with so many asks out at most. An older one may still be the one that is answered.
+const ASKS_MOST: usize = 4;
+
+/// How the list comes to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// To an agent on its own machine, without being asked for.
+    Pushed,
+    /// From a service that all nodes share; an ask costs something there.
+    Asked,
+}
 
 /// Numbers and addresses of all executors ever named.
 pub struct HostGroup {
@@ -35,7 +51,8 @@
     addresses: Vec<Option<SocketAddr>>,
 }
 
-/// The pauses between asks for the watch: full jitter, each anywhere between nothing and a bound that doubles.
+/// The pauses between asks for the watch: full jitter, each anywhere between nothing and a bound that doubles where the
+/// list is asked for.
 ///
 /// Nodes that are killed together start together. If they also paused alike they would all ask in the same moment
 /// for ever, and discovery, which answers a part of them, would turn the same rest away each time.
@@ -60,6 +77,11 @@
         pause
     }
 
+    /// The next pause before an agent on the node's own machine is asked anew, 0.8 s at most; no two nodes in step.
+    pub fn anew(&mut self) -> Duration {
+        ANEW[0] + (ANEW[1] - ANEW[0]).mul_f64(self.rng.f64())
+    }
+
     /// Begins again with the shortest bound, since a watch has lasted or another agent is asked.
     pub fn reset(&mut self) {
         self.most = PAUSES[0];
@@ -75,6 +97,17 @@
     Malformed(Error),
 }
 
+impl WatchEnd {
+    /// Whether an agent that ends a watch so may go on at any moment: it starts anew, or its machine does.
+    fn may_pass(&self) -> bool {
+        match self {
+            WatchEnd::Unreachable | WatchEnd::Silent => true,
+            WatchEnd::Unreadable(fault) => matches!(fault, Fault::Closed | Fault::Broken),
+            WatchEnd::Refused(_) | WatchEnd::Malformed(_) => false,
+        }
+    }
+}
+
 impl fmt::Display for WatchEnd {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -127,33 +160,56 @@
     }
 }
 
+/// What a watch has beside its agent's address.
+pub struct Watch<'a> {
+    /// The counters.
+    pub counters: &'a Counters,
+    /// How the list comes to this node.
+    pub source: Source,
+    /// The pauses.
+    pub backoff: Backoff,
+}
+
 /// Watches the list for ever, at the agent that `moved` named last; each piece goes to `tell`. The old list stays
 /// in force while the watch is broken, and after a move until the new agent speaks.
 pub async fn watch(
-    counters: &Counters,
+    mut watch: Watch<'_>,
     mut discovery: SocketAddr,
     seq: u64,
     moved: Receiver<SocketAddr>,
-    mut backoff: Backoff,
     tell: impl Fn(&HostList),
 ) {
     let mut after = Some(seq);
+    let mut said = String::new();
     loop {
         let begun = Instant::now();
-        let watch = async {
-            let end = match one_watch(discovery, &mut after, &tell).await {
+        let one = async {
+            let end = match watch.one(discovery, &mut after, &tell).await {
                 Ok(never) => match never {},
                 Err(end) => end,
             };
-            counters.watches_broken.add();
-            warn!(%end, "the watch on the host group ended");
+            watch.counters.watches_broken.add();
+            if begun.elapsed() > 2 * SILENCE {
+                watch.backoff.reset();
+                said.clear();
+            }
+            // The same fault again and again is told once.
+            let text = end.to_string();
+            if std::mem::replace(&mut said, text.clone()) == text {
+                debug!(end = text, "the watch on the host group ended again");
+            } else {
+                warn!(end = text, "the watch on the host group ended");
+            }
             if matches!(end, WatchEnd::Malformed(_) | WatchEnd::Unreadable(Fault::Malformed)) {
                 after = None;
             }
-            if begun.elapsed() > 2 * SILENCE {
-                backoff.reset();
-            }
-            Timer::after(backoff.pause(matches!(end, WatchEnd::Refused(_)))).await;
+            // One that has fallen silent is opened anew at once: asks are spread by themselves.
+            let pause = match (watch.source, &end) {
+                (Source::Pushed, WatchEnd::Silent) => Duration::ZERO,
+                (Source::Pushed, end) if end.may_pass() => watch.backoff.anew(),
+                _ => watch.backoff.pause(matches!(end, WatchEnd::Refused(_))),
+            };
+            Timer::after(pause).await;
             None
         };
         let to = async {
@@ -162,58 +218,121 @@
                 Err(_) => std::future::pending().await,
             }
         };
-        if let Some(address) = or(to, watch).await {
+        if let Some(address) = or(to, one).await {
             // Another agent may count its versions in another way: its whole list is asked for.
             info!(%address, "the watch on the host group moves");
             (discovery, after) = (address, None);
-            backoff.reset();
+            watch.backoff.reset();
+            said.clear();
         }
     }
 }
 
-/// One watch, from its connection to its end. Without a version to go on from, it fetches the list first.
-async fn one_watch(
-    discovery: SocketAddr,
-    after: &mut Option<u64>,
-    tell: &impl Fn(&HostList),
-) -> Result<std::convert::Infallible, WatchEnd> {
-    let mut link = by(Instant::now() + SILENCE, connect(discovery))
-        .await
-        .ok_or(WatchEnd::Silent)?
-        .map_err(|_| WatchEnd::Unreachable)?;
-    loop {
-        let query = after.map_or(String::new(), |seq| format!("?watch=1&after={seq}"));
-        let request = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
-        let begin = async {
-            link.write(request.as_bytes()).await?;
-            let head = link.head(Head::answer).await?;
-            Ok((head.start.clone(), Objects::new(head.body()?, LIST_MOST)))
-        };
-        let begun = by(Instant::now() + SILENCE, begin).await.ok_or(WatchEnd::Silent)?;
-        let (start, mut lists) = begun.map_err(WatchEnd::Unreadable)?;
-        if let Start::Answer { status } = start
-            && status != 200
-        {
-            return Err(WatchEnd::Refused(status));
-        }
+/// An ask that has been answered: what comes on it are lists.
+struct Answered {
+    link: Link,
+    lists: Objects,
+}
+
+impl Watch<'_> {
+    /// One watch, from its connection to its end. Without a version to go on from, it fetches the list first.
+    async fn one(
+        &mut self,
+        discovery: SocketAddr,
+        after: &mut Option<u64>,
+        tell: &impl Fn(&HostList),
+    ) -> Result<std::convert::Infallible, WatchEnd> {
+        let query = |after: &Option<u64>| after.map_or(String::new(), |seq| format!("?watch=1&after={seq}"));
+        let mut answered = self.asked(discovery, &query(after)).await?;
         loop {
-            let next = by(Instant::now() + SILENCE, lists.next(&mut link)).await.ok_or(WatchEnd::Silent)?;
-            match next.map_err(WatchEnd::Unreadable)? {
-                // The fetched list is complete, and a watch goes on from it; a watch itself has no end.
-                Came::End if query.is_empty() && after.is_some() => break,
-                Came::End => return Err(WatchEnd::Unreadable(Fault::Closed)),
-                Came::Part => {}
-                Came::Object(text) => {
-                    let list = HostList::read(&text).map_err(WatchEnd::Malformed)?;
-                    info!(seq = list.seq, whole = list.whole, hosts = list.hosts.len(), "host group");
-                    tell(&list);
-                    *after = Some(list.seq);
+            let fetched = after.is_none();
+            let Answered { mut link, mut lists } = answered;
+            loop {
+                let next =
+                    by(Instant::now() + SILENCE, lists.next(&mut link)).await.ok_or(WatchEnd::Silent)?;
+                match next.map_err(WatchEnd::Unreadable)? {
+                    // The fetched list is complete, and a watch goes on from it; a watch itself has no end.
+                    Came::End if fetched && after.is_some() => break,
+                    Came::End => return Err(WatchEnd::Unreadable(Fault::Closed)),
+                    Came::Part => {}
+                    Came::Object(text) => {
+                        let list = HostList::read(&text).map_err(WatchEnd::Malformed)?;
+                        info!(seq = list.seq, whole = list.whole, hosts = list.hosts.len(), "host group");
+                        tell(&list);
+                        *after = Some(list.seq);
+                    }
                 }
             }
+            answered = ask(link, discovery, &query(after), Instant::now() + SILENCE).await?;
+        }
+    }
+
+    /// Asks until there is an answer, or a clear no. An agent whose lists are pushed is asked anew while it is silent,
+    /// beside what is out already: what it has counts as told from the moment in which it could answer.
+    async fn asked(&mut self, discovery: SocketAddr, query: &str) -> Result<Answered, WatchEnd> {
+        if self.source == Source::Asked {
+            return begin(discovery, query).await;
+        }
+        let mut asks = VecDeque::new();
+        loop {
+            if asks.len() == ASKS_MOST {
+                asks.pop_front();
+            }
+            asks.push_back(Box::pin(begin(discovery, query)));
+            let pause = self.backoff.anew();
+            let ended = async { Some(first(&mut asks).await) };
+            let anew = async {
+                Timer::after(pause).await;
+                None
+            };
+            match or(ended, anew).await {
+                Some(Err(WatchEnd::Silent)) | None => {}
+                Some(end) => return end,
+            }
         }
     }
 }
 
+/// How the first of some asks ends, which is taken out.
+async fn first<F: Future + Unpin>(asks: &mut VecDeque<F>) -> F::Output {
+    poll_fn(|context| {
+        for i in 0..asks.len() {
+            if let Poll::Ready(end) = asks[i].poll(context) {
+                asks.remove(i);
+                return Poll::Ready(end);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+/// One ask, on a connection of its own, until its answer begins.
+async fn begin(discovery: SocketAddr, query: &str) -> Result<Answered, WatchEnd> {
+    let limit = Instant::now() + SILENCE;
+    let link = by(limit, connect(discovery)).await.ok_or(WatchEnd::Silent)?;
+    ask(link.map_err(|_| WatchEnd::Unreachable)?, discovery, query, limit).await
+}
+
+/// One ask on this connection, until its answer begins.
+async fn ask(
+    mut link: Link,
+    discovery: SocketAddr,
+    query: &str,
+    limit: Instant,
+) -> Result<Answered, WatchEnd> {
+    let request = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
+    let begun = async {
+        link.write(request.as_bytes()).await?;
+        let head = link.head(Head::answer).await?;
+        Ok((head.start.clone(), Objects::new(head.body()?, LIST_MOST)))
+    };
+    match by(limit, begun).await.ok_or(WatchEnd::Silent)?.map_err(WatchEnd::Unreadable)? {
+        (Start::Answer { status }, _) if status != 200 => Err(WatchEnd::Refused(status)),
+        (_, lists) => Ok(Answered { link, lists }),
+    }
+}
+
 async fn connect(discovery: SocketAddr) -> std::io::Result<Link> {
     Link::new(Async::<TcpStream>::connect(discovery).await?)
 }
--- a/engine/src/links.rs
+++ b/engine/src/links.rs
@@ -13,8 +13,8 @@
 use stepusher::WorkerId;
 
 /// Descriptors kept for what is not a link: standard streams, the poller, signals, the listener and where it was handed
-/// over, the watch, and the operators' address with its callers.
-const RESERVED: usize = 36;
+/// over, the watch with the asks beside it, and the operators' address with its callers.
+const RESERVED: usize = 40;
 /// An idle server link is dropped this long before the executor may close it. A request that crosses the
 /// close would end as a reset, and a job that must not run twice could not be sent again.
 const KEEPALIVE_MARGIN: Duration = Duration::from_secs(2);
--- a/engine/src/tests/watch.rs
+++ b/engine/src/tests/watch.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use stepusher::WorkerId;
 
 /// Reads one request and gives its target.
@@ -152,3 +153,36 @@
     });
     assert_eq!(counted(&engine), [usize::from(MANY), 0]);
 }
+
+/// Where lists are pushed, what the agent has counts as told: a node that waits after a silence sends to what drains.
+#[test]
+fn a_silent_agent_is_asked_anew_within_a_second_and_any_ask_may_be_answered() {
+    for answered in [0, 2] {
+        let engine = watched(move |agent| {
+            let begun = Instant::now();
+            let mut asks: Vec<TcpStream> = Vec::new();
+            for _ in 0..3 {
+                let mut stream = agent.accept().expect("the node comes").0;
+                assert_eq!(target(&mut stream), "/registry/instances?watch=1&after=1");
+                asks.push(stream);
+            }
+            assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+            let mut stream = asks.remove(answered);
+            stream.write_all(OPEN).expect("the node reads");
+            say(&mut stream, &list(2, false, &host("s-2", 2)));
+            // The others are given up.
+            for mut ask in asks {
+                assert!(matches!(ask.read(&mut [0]), Ok(0) | Err(_)));
+            }
+            // A watch that breaks off is asked for again soon, however often.
+            drop(stream);
+            for n in 2..8 {
+                let begun = Instant::now();
+                let mut stream = agent.accept().expect("the node comes").0;
+                assert_eq!(target(&mut stream), "/registry/instances?watch=1&after=2");
+                assert!(begun.elapsed() < Duration::from_secs(1), "{n}: {:?}", begun.elapsed());
+            }
+        });
+        assert_eq!(engine.counters.lists.get(), 1);
+    }
+}
