Test: a node among 1,024 with 1,025 executors keeps to 32 MB and 256 descriptors

The whole list is known from the start, comes again indented eight deep, then as 2,049 changes, some indented; a list with one wrong entry is named by its key (hosts[700].health), changes nothing, and the whole one is asked for. 1,025 zones and kinds, balancers 1,024.

--- /dev/null
+++ b/node/tests/many.rs
@@ -0,0 +1,138 @@
+//! A node among a thousand, with a thousand executors in its list, within the least memory and descriptors.
+
+use sorrelhaven_standins::{Ask, Boxes, Program, Scratch};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::thread;
+
+const EXECUTORS: usize = 1025;
+const WORDS: usize = 1025;
+const MEMORY_KB: u64 = 32 * 1024;
+
+/// An entry of the list; the executors share the boxes' addresses, each with links of its own.
+fn host(n: usize, boxes: &[SocketAddr], health: &str) -> String {
+    let dial = boxes[n % boxes.len()];
+    format!(
+        r#"{{"host":"s-{n:08x}","dial":"{dial}","site":"zone-{}","class":"kind-{}","block":{n},"health":"{health}","share":1.0,"born_ms":0}}"#,
+        n % WORDS,
+        n % WORDS,
+    )
+}
+
+fn list(seq: usize, whole: bool, hosts: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
+}
+
+/// Laid out over many lines, as deep as printers go.
+fn indented(list: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(list).expect("a list");
+    let mut text = Vec::new();
+    let format = serde_json::ser::PrettyFormatter::with_indent(b"        ");
+    let mut writer = serde_json::Serializer::with_formatter(&mut text, format);
+    serde::Serialize::serialize(&value, &mut writer).expect("text");
+    String::from_utf8(text).expect("text") + "\n"
+}
+
+fn config(boxes: &[SocketAddr], discovery: SocketAddr) -> String {
+    let words = |word: &str| -> String {
+        (0..WORDS).map(|n| format!("\"{word}-{n}\"")).collect::<Vec<_>>().join(",")
+    };
+    let known: Vec<String> = (0..EXECUTORS).map(|n| host(n, boxes, "in_service")).collect();
+    format!(
+        r#"{{"name":"n1023","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1f",
+            "limits":{{"sockets":256,"memory_mb":32}},"known":{},
+            "settings":{{"balancers":1024,"me":1023,"zone":3,"zones":[{}],"kinds":[{}],
+                "ceilings":{{"maxAttempts":3,"dialTimeout":250000,"cancel":true}},
+                "invariants":{{"cold":24000000,"fall":1000000,"overloadFactor":3.0,"startCapacity":0.12}},
+                "familyInfo":{{"tellsStart":true}},
+                "grades":[{{"name":"fee-charge","aim":300000,"deadline":5000000,"lateValue":0.5,
+                    "effect":"at_most_once"}}]}}}}"#,
+        list(1, true, &known),
+        words("zone"),
+        words("kind"),
+    )
+}
+
+const OPEN: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Takes one ask of the node and opens the answer to it.
+fn opened(agent: &TcpListener) -> TcpStream {
+    let mut stream = agent.accept().expect("the node asks").0;
+    let mut got = Vec::new();
+    while !got.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("a request");
+        got.push(byte[0]);
+    }
+    stream.write_all(OPEN).expect("the node reads");
+    stream
+}
+
+fn say(stream: &mut TcpStream, text: &str) {
+    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).expect("the node reads");
+}
+
+/// What the system says of the process, by a key of its status.
+fn status(node: &Program, key: &str) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("it lives");
+    let line = text.lines().find_map(|l| l.strip_prefix(key)).expect("the key");
+    line.trim_matches(|c: char| !c.is_ascii_digit()).parse().expect("a figure")
+}
+
+/// The whole list is known from the start, comes again indented, and then a change for each executor: all but one
+/// leave, then all are back. Jobs are answered through all of it.
+#[test]
+fn a_node_among_1024_with_1025_executors_keeps_to_32_mb_and_256_descriptors() {
+    let boxes = Boxes::new(8).addresses;
+    let agent = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let scratch = Scratch::new("many");
+    let file = scratch.write("node.json", &config(&boxes, agent.local_addr().expect("its address")));
+    let mut command = Command::new("sh");
+    // Its log is read at the end only, so it must not hold a line for each list.
+    command.args(["-c", "ulimit -n 256; exec \"$0\"", env!("CARGO_BIN_EXE_sorrelhaven")]);
+    command.env("RUST_LOG", "info,sorrelhaven_engine::host_group=warn");
+    command.env("RELAY_OPS", "127.0.0.1:0");
+    let node = Program::start(command, &file, None);
+    let asks = |from: usize, to: usize| {
+        for n in from..to {
+            let ask =
+                Ask { hint: Some(20_000), ..Ask::new(&format!("q-{n}"), "fee-charge", b"body".to_vec()) };
+            let reply = ask.send(&node.address).expect("an answer");
+            assert_eq!(reply.status, 200, "{n}: {}", reply.body);
+        }
+    };
+    asks(0, 100);
+    let mut watch = opened(&agent);
+    let hosts = |health: &str| -> Vec<String> { (0..EXECUTORS).map(|n| host(n, &boxes, health)).collect() };
+    say(&mut watch, &indented(&list(2, true, &hosts("in_service"))));
+    let mut seq = 2;
+    for (first, health, skipped) in [(1, "terminating", EXECUTORS - 1), (0, "in_service", 0)] {
+        for host in &hosts(health)[first..] {
+            seq += 1;
+            let change = list(seq, false, std::slice::from_ref(host));
+            say(&mut watch, &if seq % 3 == 0 { indented(&change) } else { change + "\n" });
+        }
+        while node.shown("node_skipped_executors") != skipped as u64 {
+            thread::yield_now();
+        }
+        assert_eq!(node.shown("node_known_executors"), EXECUTORS as u64);
+        asks(seq, seq + 100);
+    }
+    // A list with one wrong entry is named, changes nothing, and the whole one is asked for.
+    let mut wrong = hosts("terminating");
+    wrong[700] = wrong[700].replace("terminating", "asleep");
+    say(&mut watch, &indented(&list(seq + 1, true, &wrong)));
+    let mut fetched = opened(&agent);
+    say(&mut fetched, &indented(&list(seq + 2, true, &hosts("in_service"))));
+    asks(0, 100);
+    assert_eq!(node.shown("node_skipped_executors"), 0);
+    let open = std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).expect("it lives").count();
+    assert!(open < 256, "{open} descriptors");
+    let most = status(&node, "VmHWM:");
+    println!("{most} KiB at most, {open} descriptors");
+    assert!(most < MEMORY_KB, "{most} KiB");
+    let log = node.end();
+    let named = log.lines().filter(|l| l.contains("hosts[700].health") && l.contains("asleep")).count();
+    assert_eq!(named, 1, "{log}");
+}
