--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use fault::{Error, Faults};
 pub use hosts::{Health, Host, HostList, Names, key};
-pub use operator::{Bodies, BodyFiles, BodyMemory, Operator, Unkept};
+pub use operator::{Bodies, BodyFiles, BodyMemory, Membership, Operator, Peers, Unkept};
 pub use settings::settings_from;
 use settings::{Conf, settings};
 
--- a/config/src/operator.rs
+++ b/config/src/operator.rs
@@ -4,12 +4,15 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// The most bytes that any setting of a size takes: 1 TiB.
 const SIZE_MOST: u64 = 1 << 40;
 /// What the node needs beside the bodies that it keeps, in megabytes.
 const BESIDE_BODIES_MB: u64 = 24;
+/// The least that a key of membership holds, in bytes.
+const KEY_LEAST: usize = 16;
 /// How like a known key an unknown one must be to be taken for a slip of it, from 0 to 1.
 const ALIKE: f64 = 0.6;
 
@@ -19,6 +22,107 @@
 pub struct Operator {
     /// Where the bodies of requests are kept so that they can be sent again.
     pub bodies: Bodies,
+    /// Nodes that know each other, over UDP.
+    pub membership: Membership,
+}
+
+/// Nodes that know each other, over UDP.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct Membership {
+    /// Where this node listens for others, an address with a port; `null`: it knows no others.
+    pub listen: Option<String>,
+    /// The address at which others reach it, where that is another than `listen`.
+    pub advertise: Option<String>,
+    /// Addresses at which others may be found at first.
+    pub seeds: Vec<String>,
+    /// A file with the key that all nodes share, of 16 bytes at least; needed with `listen`.
+    pub key_file: Option<PathBuf>,
+    /// Each node probes one other in this time, in milliseconds.
+    #[schemars(range(min = 50, max = 60_000))]
+    pub probe_period_ms: u64,
+    /// A probe that is not answered in this time is made through others, in milliseconds; under the period.
+    #[schemars(range(min = 5, max = 30_000))]
+    pub probe_rtt_ms: u64,
+    /// Through so many others.
+    #[schemars(range(min = 1, max = 16))]
+    pub indirect: usize,
+    /// How long a node that is suspected may take to say that it lives, in milliseconds.
+    #[schemars(range(min = 100, max = 600_000))]
+    pub suspicion_ms: u64,
+}
+
+impl Default for Membership {
+    fn default() -> Self {
+        Membership {
+            listen: None,
+            advertise: None,
+            seeds: Vec::new(),
+            key_file: None,
+            probe_period_ms: 500,
+            probe_rtt_ms: 150,
+            indirect: 3,
+            suspicion_ms: 1_200,
+        }
+    }
+}
+
+/// What a node needs to know others, read and checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peers {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where others reach it; `None`: where it listens.
+    pub advertise: Option<SocketAddr>,
+    /// Where others may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// The key that all share.
+    pub key: Vec<u8>,
+}
+
+impl Membership {
+    /// What a node needs to know others; `None` where it is to know none. Reads the file of the key.
+    ///
+    /// # Errors
+    /// The first fault, which names its key.
+    pub fn peers(&self) -> Result<Option<Peers>, Error> {
+        let fault = |key: &str, text: String| Error::new(format!("membership.{key}"), text);
+        let address = |key: &str, text: &String| {
+            text.parse::<SocketAddr>()
+                .map_err(|_| fault(key, format!("{text:?} is not an address with a port")))
+        };
+        let Some(listen) = &self.listen else { return Ok(None) };
+        let listen = address("listen", listen)?;
+        let advertise = self.advertise.as_ref().map(|a| address("advertise", a)).transpose()?;
+        let seeds = self.seeds.iter().enumerate().map(|(i, s)| address(&format!("seeds[{i}]"), s));
+        let seeds = seeds.collect::<Result<Vec<_>, _>>()?;
+        let path = self.key_file.as_ref().ok_or_else(|| fault("key_file", "missing".into()))?;
+        let key = std::fs::read(path).map_err(|e| fault("key_file", format!("{}: {e}", path.display())))?;
+        let key = key.trim_ascii().to_vec();
+        if key.len() < KEY_LEAST {
+            return Err(fault("key_file", format!("a key of {} bytes, under {KEY_LEAST}", key.len())));
+        }
+        Ok(Some(Peers { listen, advertise, seeds, key }))
+    }
+
+    fn faults(&self) -> Vec<Error> {
+        let mut faults: Vec<Error> = self.peers().err().into_iter().collect();
+        let period = self.probe_period_ms;
+        for (key, value, least, most) in [
+            ("probe_period_ms", period, 50, 60_000),
+            ("probe_rtt_ms", self.probe_rtt_ms, 5, period.saturating_sub(1).max(5)),
+            ("indirect", self.indirect as u64, 1, 16),
+            ("suspicion_ms", self.suspicion_ms, 100, 600_000),
+        ] {
+            if !(least..=most).contains(&value) {
+                faults.push(Error::new(
+                    format!("membership.{key}"),
+                    format!("{value} is not in {least} to {most}"),
+                ));
+            }
+        }
+        faults
+    }
 }
 
 /// Where the bodies of requests are kept so that they can be sent again.
@@ -146,7 +250,7 @@
     /// What does not go together, where the process may hold `memory_mb` megabytes.
     pub fn faults(&self, memory_mb: u64) -> Vec<Error> {
         let Bodies { largest_bytes, slowest_bytes_per_s, memory, files, unkept } = &self.bodies;
-        let mut faults = Vec::new();
+        let mut faults = self.membership.faults();
         let mut fault = |key: &str, text: String| faults.push(Error::new(format!("bodies.{key}"), text));
         for (key, size) in [
             ("largest_bytes", *largest_bytes),
--- a/config/tests/operator.rs
+++ b/config/tests/operator.rs
@@ -39,7 +39,7 @@
         faults(r#"{"bodies":{"memory":{"each_byte":1}}}"#),
         ["bodies.memory.each_byte: unknown key; did you mean \"each_bytes\"?"]
     );
-    assert_eq!(faults(r#"{"xyzzy":1}"#), ["xyzzy: unknown key; known are bodies"]);
+    assert_eq!(faults(r#"{"xyzzy":1}"#), ["xyzzy: unknown key; known are bodies, membership"]);
 }
 
 /// One run names all that is wrong, so that nobody mends a file by trial.
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -1,8 +1,8 @@
 //! Nodes that know each other: who is alive, who is suspected, who is dead, who has left.
 //!
 //! The protocol is SWIM, by the `foca` crate; this crate gives it identities, time, a seal on every datagram, patience
-//! with its own pauses, and a table that others read. It does no I/O and reads no clock: datagrams and the time go in,
-//! datagrams come out. `docs/membership.md` says what an operator needs.
+//! with its own pauses, and a table that others read. [`Membership`] does no I/O and reads no clock: datagrams and the time
+//! go in, datagrams come out; [`run`] has it do so on a socket. `docs/membership.md` says what an operator needs.
 //!
 //! ```
 //! use sorrelhaven_membership::{Id, Membership, Settings, Standing};
@@ -29,11 +29,13 @@
 mod seal;
 mod state;
 mod table;
+mod udp;
 
 pub use id::Id;
 pub use seal::{DATAGRAM_MOST, KEY_LEAST, Unsealed};
 pub use state::{Figures, Membership, Settings};
 pub use table::{Row, Standing};
+pub use udp::{run, send, time};
 
 /// A point in time or a length of it, in microseconds.
 pub type Micros = i64;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod cli;
+mod membership;
 
 use async_channel::Sender;
 use async_io::{Async, Timer};
@@ -10,6 +11,7 @@
 use cli::{Cli, Command, Common, LogFormat};
 use futures_lite::StreamExt;
 use futures_lite::future::or;
+use membership::Others;
 use sorrelhaven_bodies::{Directory, Disk};
 use sorrelhaven_config::{Config, Operator};
 use sorrelhaven_engine::Engine;
@@ -126,6 +128,7 @@
     let engine = Engine::new(&config, disk);
     let standing = Rc::<Standing>::default();
     let front = Front::new(engine.clone(), &config, standing.clone());
+    let peers = Others::start(&config)?.map(Rc::new);
     // The operators are answered from here on.
     let ops = match config.ops {
         Some(at) => Some(ops::listen(at).map_err(|e| format!("ops: {at}: {e}"))?),
@@ -144,9 +147,13 @@
             .ok(),
     };
     let tasks = engine.tasks.clone();
+    if let Some(others) = peers.clone() {
+        tasks.spawn_urgent(async move { others.run().await });
+    }
     let at = ops.as_ref().and_then(|ops| ops.get_ref().local_addr().ok());
     if let Some(ops) = ops {
-        let desk = Rc::new(ops::Desk::new(engine.clone(), standing.clone()));
+        let members = peers.as_ref().map(|others| others.member.clone());
+        let desk = Rc::new(ops::Desk::new(engine.clone(), standing.clone(), members));
         tasks.spawn_urgent(ops::serve(desk, tasks.clone(), ops));
     }
     standing.loaded(Instant::now());
@@ -169,6 +176,9 @@
     tasks.spawn_urgent(async move { at.obey(signals, config, env, moves).await });
     let serve = node.serve(listener, queue);
     async_io::block_on(or(serve, async { match tasks.run().await {} }));
+    if let Some(others) = peers {
+        others.leave();
+    }
     node.count();
     Ok(())
 }
@@ -274,6 +284,9 @@
                 Err(error) => return warn!(error, "the configuration stays as it was"),
             }
         }
+        if config.operator.membership != next.operator.membership {
+            warn!("membership has changed in the operators' file and waits for a restart");
+        }
         self.sockets.set(next.sockets);
         self.divide();
         if next.discovery != config.discovery {
--- a/ops/src/call.rs
+++ b/ops/src/call.rs
@@ -13,6 +13,8 @@
     Lifecycle(Call),
     /// The figures.
     ShowStat,
+    /// The nodes that this one knows.
+    Members,
 }
 
 /// Why a line is no call.
@@ -31,7 +33,7 @@
         match self {
             Unread::TooLong => write!(f, "a call holds at most {LINE_MOST} bytes"),
             Unread::Unknown(line) => {
-                write!(f, "unknown call {line:?}; there are ready, show-stat, drain, resume")
+                write!(f, "unknown call {line:?}; there are ready, show-stat, drain, resume, members")
             }
             Unread::TooSlow => f.write_str("the call did not come whole in time"),
         }
@@ -66,6 +68,7 @@
             b"drain" => Ok(Asked::Lifecycle(Call::Drain)),
             b"resume" => Ok(Asked::Lifecycle(Call::Resume)),
             b"show-stat" => Ok(Asked::ShowStat),
+            b"members" => Ok(Asked::Members),
             other => Err(Unread::Unknown(String::from_utf8_lossy(other).into_owned())),
         }
     }
--- a/ops/src/desk.rs
+++ b/ops/src/desk.rs
@@ -4,6 +4,8 @@
 use crate::figures::{ClassFigures, Figures};
 use sorrelhaven_engine::Engine;
 use sorrelhaven_lifecycle::{Reply, Standing};
+use sorrelhaven_membership::{Membership, Row, Standing as Held};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -11,12 +13,14 @@
 pub struct Desk {
     engine: Rc<Engine>,
     standing: Rc<Standing>,
+    members: Option<Rc<RefCell<Membership>>>,
 }
 
 impl Desk {
-    /// A desk that shows what `engine` counts and does what is asked of `standing`.
-    pub fn new(engine: Rc<Engine>, standing: Rc<Standing>) -> Desk {
-        Desk { engine, standing }
+    /// A desk that shows what `engine` counts, does what is asked of `standing`, and knows the other nodes where
+    /// membership is on.
+    pub fn new(engine: Rc<Engine>, standing: Rc<Standing>, members: Option<Rc<RefCell<Membership>>>) -> Desk {
+        Desk { engine, standing, members }
     }
 
     /// The answer to a line, whole lines all of it.
@@ -27,10 +31,39 @@
                 Reply::No(holds) => format!("FAILURE {holds}\n"),
             },
             Ok(Asked::ShowStat) => self.figures().text(),
+            Ok(Asked::Members) => self.members(),
             Err(unread) => format!("FAILURE {unread}\n"),
         }
     }
 
+    /// The other nodes and this one, a line each: name, life, address, standing.
+    fn members(&self) -> String {
+        let Some(members) = &self.members else { return "FAILURE membership is off\n".to_string() };
+        let mut rows = members.borrow().table();
+        rows.sort_by(|a, b| a.id.cmp(&b.id));
+        let line = |r: &Row| format!("{} {} {} {}\n", r.id.name, r.id.life, r.id.address, r.standing);
+        rows.iter().map(line).collect::<String>() + "EOT\n"
+    }
+
+    fn member_figures(&self) -> Vec<(&'static str, &'static str, u64)> {
+        let Some(members) = &self.members else { return Vec::new() };
+        let (table, f) = (members.borrow().table(), members.borrow().figures());
+        let count = |standing| table.iter().filter(|r| r.standing == standing).count() as u64;
+        vec![
+            ("members_alive", "gauge", count(Held::Alive)),
+            ("members_suspect", "gauge", count(Held::Suspect)),
+            ("members_dead", "gauge", count(Held::Dead)),
+            ("members_left", "gauge", count(Held::Left)),
+            ("member_probes", "counter", f.probes),
+            ("member_suspicions", "counter", f.suspicions),
+            ("member_refuted", "counter", f.refuted),
+            ("member_declared_dead", "counter", f.declared_dead),
+            ("member_pauses", "counter", f.pauses),
+            ("member_bytes_sent", "counter", f.bytes),
+            ("member_dropped", "counter", f.misshapen + f.forged + f.replayed + f.senseless),
+        ]
+    }
+
     /// The figures now.
     pub fn figures(&self) -> Figures {
         let counters = &self.engine.counters;
@@ -47,6 +80,7 @@
             in_progress: counters.in_progress(),
             known_executors: census.known,
             skipped_executors: census.skipped(),
+            members: self.member_figures(),
         }
     }
 }
--- a/ops/src/figures.rs
+++ b/ops/src/figures.rs
@@ -31,6 +31,8 @@
     pub known_executors: u64,
     /// Those of them that the node now avoids.
     pub skipped_executors: u64,
+    /// Of the other nodes, where membership is on: name, kind and figure of each.
+    pub members: Vec<(&'static str, &'static str, u64)>,
 }
 
 impl Figures {
@@ -52,7 +54,7 @@
             ("known_executors", "gauge", self.known_executors),
             ("skipped_executors", "gauge", self.skipped_executors),
         ];
-        for (name, kind, figure) in single {
+        for (name, kind, figure) in single.into_iter().chain(self.members.iter().copied()) {
             let _ = writeln!(text, "# TYPE node_{name} {kind}\nnode_{name} {figure}");
         }
         text + "EOT\n"
--- a/ops/tests/calls.rs
+++ b/ops/tests/calls.rs
@@ -20,6 +20,7 @@
         ("drain", Asked::Lifecycle(Call::Drain)),
         ("resume", Asked::Lifecycle(Call::Resume)),
         ("show-stat", Asked::ShowStat),
+        ("members", Asked::Members),
     ];
     check(256, (0usize..4, "( |\t){0,3}", "\r?\n(ready\n)?|", 1usize..40), |(i, space, end, piece)| {
         let (name, asked) = known[i];
@@ -86,6 +87,7 @@
         in_progress: 14,
         known_executors: 9,
         skipped_executors: 2,
+        members: vec![("members_alive", "gauge", 5)],
     };
     let text = figures.text();
     for line in [
@@ -93,6 +95,7 @@
         "node_dropped{category=\"fee\"} 3",
         "node_bad_gateway{category=\"fee\"} 1",
         "node_passed{category=\"a\\\"b\\\\c\\nd\"} 0",
+        "node_members_alive 5",
         "node_upstream_tries 820",
         "node_in_progress 14",
         "node_known_executors 9",
--- a/ops/tests/scrape.rs
+++ b/ops/tests/scrape.rs
@@ -101,7 +101,7 @@
         boxes.script(&cases.iter().map(|c| c.act).collect::<Vec<_>>());
         let text = boxes_file(&boxes.addresses);
         let engine = Engine::new(&Config::parse(&text, |_| None).expect("a configuration"), None);
-        let desk = Desk::new(engine.clone(), Rc::<Standing>::default());
+        let desk = Desk::new(engine.clone(), Rc::<Standing>::default(), None);
         let at = engine.clone();
         engine.tasks.spawn_urgent(async move { at.desk.run_timers().await });
         let heard = Rc::new(Cell::new([0_u64; 4]));
--- a/standins/src/between.rs
+++ b/standins/src/between.rs
@@ -69,15 +69,21 @@
     state: Mutex<State>,
     news: Condvar,
     over: AtomicBool,
-    /// The socket at which process `i` reaches process `j` is number `i * count + j`.
+    /// The socket at which process `i` reaches process `j` is number `i * count + j`, or `j` where each process has
+    /// one address for all.
     sockets: Vec<UdpSocket>,
     count: usize,
+    one_address: bool,
 }
 
 impl Shared {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn socket(&self, from: usize, to: usize) -> &UdpSocket {
+        &self.sockets[if self.one_address { to } else { from * self.count + to }]
+    }
 }
 
 /// Stands between `count` processes, numbered from 0, until it is dropped.
@@ -89,12 +95,23 @@
 impl Between {
     /// Binds the addresses, on loopback at ports that the system picks. Equal seeds spoil alike.
     pub fn new(count: usize, seed: u64) -> io::Result<Between> {
+        Between::make(count, seed, false)
+    }
+
+    /// The same where all reach a process at one address of it, which they tell each other. Who sent a datagram shows
+    /// in where it came from, so each has to send from where it listens, and to be told by `listens` before it does.
+    pub fn with_one_address_each(count: usize, seed: u64) -> io::Result<Between> {
+        Between::make(count, seed, true)
+    }
+
+    fn make(count: usize, seed: u64, one_address: bool) -> io::Result<Between> {
         let bind = |_| {
             let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
             socket.set_read_timeout(Some(LOOK))?;
             Ok(socket)
         };
-        let sockets = (0..count * count).map(bind).collect::<io::Result<Vec<_>>>()?;
+        let many = if one_address { count } else { count * count };
+        let sockets = (0..many).map(bind).collect::<io::Result<Vec<_>>>()?;
         let mut rng = fastrand::Rng::with_seed(seed);
         let direction =
             |_| Direction { faults: Faults::default(), carried: Carried::default(), rng: rng.fork() };
@@ -110,8 +127,10 @@
             over: AtomicBool::new(false),
             sockets,
             count,
+            one_address,
         });
-        let pairs = (0..count * count).filter(|n| n / count != n % count);
+        let pairs =
+            (0..count * count).filter(|n| if one_address { n / count == 0 } else { n / count != n % count });
         let mut threads: Vec<JoinHandle<()>> = pairs
             .map(|n| {
                 let shared = shared.clone();
@@ -125,7 +144,7 @@
 
     /// The address at which process `from` reaches process `to`.
     pub fn address(&self, from: usize, to: usize) -> io::Result<SocketAddr> {
-        self.shared.sockets[from * self.shared.count + to].local_addr()
+        self.shared.socket(from, to).local_addr()
     }
 
     /// Process `number` listens there, now or again after a restart; what comes for it before is lost.
@@ -184,11 +203,14 @@
 fn take(shared: &Shared, from: usize, to: usize) {
     let mut buffer = vec![0; 1 << 16];
     while !shared.over.load(Ordering::Acquire) {
-        let Ok((length, _)) = shared.sockets[from * shared.count + to].recv_from(&mut buffer) else {
+        let Ok((length, source)) = shared.socket(from, to).recv_from(&mut buffer) else {
             continue;
         };
         let now = Instant::now();
         let mut state = shared.state();
+        let sender =
+            if shared.one_address { state.at.iter().position(|at| *at == Some(source)) } else { Some(from) };
+        let Some(from) = sender else { continue };
         let direction = &mut state.directions[from * shared.count + to];
         direction.carried.came += 1;
         direction.carried.bytes += length as u64;
@@ -219,7 +241,7 @@
                 let n = from * shared.count + to;
                 let at = state.at[to].filter(|_| !state.directions[n].faults.cut);
                 // A receiver that is gone answers with an error here: the datagram is lost, as it would be.
-                let sent = at.map(|at| shared.sockets[to * shared.count + from].send_to(&bytes, at));
+                let sent = at.map(|at| shared.socket(to, from).send_to(&bytes, at));
                 let carried = &mut state.directions[n].carried;
                 let end = if matches!(sent, Some(Ok(_))) { &mut carried.went } else { &mut carried.lost };
                 *end += 1;
