--- a/membership/src/state.rs
+++ b/membership/src/state.rs
@@ -411,3 +411,62 @@
         self.table.retain(|_, row| row.standing < Standing::Dead || now - row.since < forget);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A pair that talk, where what one says comes to the other spoilt and sealed again, so that it gets past the seal.
+    fn spoilt(rng: &mut fastrand::Rng, steps: usize) -> Figures {
+        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let settings = |seeds| Settings { seeds, ..Settings::new(b"a key of the tests alone".to_vec()) };
+        let mut a = Membership::new(Id::new("a", 1, at(1)), settings(vec![at(2)]), rng.u64(..), 0);
+        let mut b = Membership::new(Id::new("b", 1, at(2)), settings(vec![at(1)]), rng.u64(..), 0);
+        let mut seal = Seal::new(b"a key of the tests alone", rng.u64(..));
+        let mut open = Seal::new(b"a key of the tests alone", rng.u64(..));
+        let mut now = 0;
+        for _ in 0..steps {
+            now += rng.i64(1_000..200_000);
+            for (_, datagram) in b.tick(now) {
+                a.datagram(now, &datagram);
+            }
+            for (_, datagram) in a.tick(now) {
+                b.datagram(now, &datagram);
+                let mut message = open.open(&datagram).expect("it was sealed").to_vec();
+                for _ in 0..rng.usize(1..6) {
+                    let place = rng.usize(..message.len());
+                    match rng.u8(..4) {
+                        0 => message[place] = rng.u8(..),
+                        1 => message.truncate(place.max(1)),
+                        2 => message.insert(place, rng.u8(..)),
+                        _ => message.extend((0..rng.usize(..40)).map(|_| rng.u8(..))),
+                    }
+                }
+                message.truncate(MESSAGE_MOST);
+                b.datagram(now, &seal.seal(&message));
+            }
+        }
+        assert!(b.table().len() <= 1 + steps * 64, "what it holds is bounded by what it was told");
+        b.figures()
+    }
+
+    #[test]
+    fn messages_that_are_sealed_and_make_no_sense_break_nothing() {
+        let mut rng = fastrand::Rng::with_seed(9);
+        let senseless: u64 = (0..60).map(|_| spoilt(&mut rng, 40).senseless).sum();
+        assert!(senseless > 500, "{senseless} were told from sense");
+    }
+
+    /// The same for as many seconds as `FUZZ_SECONDS` says, 600 without it.
+    #[test]
+    #[ignore = "it runs for ten minutes"]
+    fn fuzz_sealed_messages() {
+        let seconds = std::env::var("FUZZ_SECONDS").ok().and_then(|s| s.parse().ok()).unwrap_or(600);
+        let (begun, mut rng, mut rounds) = (std::time::Instant::now(), fastrand::Rng::with_seed(10), 0_u64);
+        while begun.elapsed() < Duration::from_secs(seconds) {
+            spoilt(&mut rng, 60);
+            rounds += 1;
+        }
+        println!("{rounds} rounds");
+    }
+}
