--- a/membership/examples/table.rs
+++ b/membership/examples/table.rs
@@ -1,11 +1,14 @@
 //! The table of `docs/membership.md`: detection, false deaths and traffic by the number of members and the faults.
 //!
 //!     cargo run --release -p sorrelhaven-membership --example table -- 5 50 300
+//!
+//! Where `SVG` names a file, a plot of detection is written to it.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
 use common::*;
 use sorrelhaven_membership::{Micros, Standing};
+use std::fmt::Write;
 
 const DEATHS: usize = 5;
 
@@ -54,7 +57,43 @@
     (world.sum(|f| f.declared_dead), seconds / 3_600.0, bytes)
 }
 
+/// The share of members that know of a death by the time since, a line for each number of members.
+fn plot(known: &[(usize, Vec<Micros>)]) -> String {
+    const COLOURS: [&str; 4] = ["#1b6ca8", "#c2571a", "#3a7d44", "#7b3f8c"];
+    let mut svg = String::from(concat!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 0 640 330\" font-family=\"sans-serif\" font-size=\"12\">\n",
+        "<rect width=\"640\" height=\"330\" fill=\"white\"/>\n",
+    ));
+    let (x, y) = (|ms: f64| 50.0 + ms * 0.14, |share: f64| 290.0 - share * 250.0);
+    for s in 0..5 {
+        let at = x(f64::from(s) * 1_000.0);
+        let _ = writeln!(
+            svg,
+            "<path d=\"M{at} 40V290\" stroke=\"#ddd\"/><text x=\"{at}\" y=\"306\">{s} s</text>"
+        );
+        let at = y(f64::from(s) / 4.0);
+        let _ = writeln!(
+            svg,
+            "<path d=\"M50 {at}H610\" stroke=\"#ddd\"/><text x=\"8\" y=\"{at}\">{} %</text>",
+            s * 25
+        );
+    }
+    let _ = writeln!(svg, "<text x=\"50\" y=\"24\">members that know of a death, by the time since</text>");
+    for (i, (count, times)) in known.iter().enumerate() {
+        let colour = COLOURS[i % COLOURS.len()];
+        let mut path = format!("M{:.1} {:.1}", x(0.0), y(0.0));
+        for (n, &ms) in times.iter().enumerate() {
+            let _ = write!(path, "H{:.1}V{:.1}", x(ms as f64), y((n + 1) as f64 / times.len() as f64));
+        }
+        let _ = writeln!(svg, "<path d=\"{path}\" fill=\"none\" stroke=\"{colour}\" stroke-width=\"2\"/>");
+        let _ =
+            writeln!(svg, "<text x=\"520\" y=\"{}\" fill=\"{colour}\">{count} members</text>", 200 + 18 * i);
+    }
+    svg + "</svg>\n"
+}
+
 fn main() {
+    let mut plotted = Vec::new();
     println!(
         "| members | death known, ms: median, 99th, last | faults | false deaths in member hours | bytes a member and second |"
     );
@@ -63,6 +102,7 @@
         let times = detection(count);
         let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
         let known = format!("{}, {}, {}", at(0.5), at(0.99), at(1.0));
+        plotted.push((count, times.clone()));
         for (faults, loss, pauses) in [
             ("none", 0.0, false),
             ("5% lost", 0.05, false),
@@ -73,4 +113,7 @@
             println!("| {count} | {known} | {faults} | {dead} in {hours:.1} | {bytes:.0} |");
         }
     }
+    if let Some(path) = std::env::var_os("SVG") {
+        std::fs::write(path, plot(&plotted)).expect("the plot is written");
+    }
 }
