--- a/config/tests/operator.rs
+++ b/config/tests/operator.rs
@@ -98,3 +98,35 @@
     assert_eq!(load("none").last().expect("a fault"), "SORRELHAVEN_OPERATOR");
     std::fs::remove_dir_all(&dir).expect("it was there");
 }
+
+/// Membership is off by default; where it is on, what it needs is there and reads, and each fault names its key.
+#[test]
+fn membership_is_off_or_whole() {
+    assert_eq!(Operator::default().membership.peers(), Ok(None));
+    let dir = std::env::temp_dir().join(format!("sorrelhaven-key-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a directory");
+    let key = |name: &str, text: &str| {
+        std::fs::write(dir.join(name), text).expect("a file");
+        format!("{:?}", dir.join(name).display().to_string())
+    };
+    let (good, short) = (key("good", " sixteen bytes or more\n"), key("short", "short\n"));
+    let cases = [
+        (r#""listen":"here""#.to_string(), "membership.listen: \"here\" is not an address"),
+        (r#""listen":"127.0.0.1:1""#.to_string(), "membership.key_file: missing"),
+        (format!(r#""listen":"127.0.0.1:1","key_file":{short}"#), "membership.key_file: a key of 5 bytes"),
+        (format!(r#""listen":"127.0.0.1:1","key_file":{good},"seeds":["x"]"#), "membership.seeds[0]: \"x\""),
+        (r#""probe_period_ms":60001"#.to_string(), "membership.probe_period_ms: 60001 is not in 50 to"),
+        (r#""probe_rtt_ms":500"#.to_string(), "membership.probe_rtt_ms: 500 is not in 5 to 499"),
+        (r#""indirect":0"#.to_string(), "membership.indirect: 0 is not in 1 to 16"),
+        (r#""lisen":null"#.to_string(), "membership.lisen: unknown key; did you mean \"listen\"?"),
+    ];
+    for (body, fault) in &cases {
+        let found = faults(&format!("{{\"membership\":{{{body}}}}}"));
+        assert!(found.len() == 1 && found[0].starts_with(fault), "{body}: {found:?}");
+    }
+    let whole =
+        format!(r#"{{"membership":{{"listen":"127.0.0.1:1","key_file":{good},"seeds":["127.0.0.1:2"]}}}}"#);
+    let peers = Operator::parse(&whole).expect("a file").membership.peers().expect("whole").expect("on");
+    assert_eq!((peers.key.as_slice(), peers.seeds.len()), (b"sixteen bytes or more".as_slice(), 1));
+    std::fs::remove_dir_all(&dir).expect("it was there");
+}
