--- a/membership/src/state.rs
+++ b/membership/src/state.rs
@@ -308,6 +308,11 @@
         self.table.values().cloned().collect()
     }
 
+    /// What is held of the member at an address, in its latest life.
+    pub fn row(&self, address: SocketAddr) -> Option<&Row> {
+        self.table.get(&address)
+    }
+
     /// What has been counted.
     pub fn figures(&self) -> Figures {
         self.figures
--- a/membership/tests/common/mod.rs
+++ b/membership/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use sorrelhaven_membership::{Figures, Id, Membership, Micros, Settings, Standing};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 
 pub const MS: Micros = 1_000;
@@ -145,8 +145,7 @@
 
     /// What one holds of another.
     pub fn view(&self, n: usize, of: usize) -> Option<Standing> {
-        let rows = self.members[n].table();
-        rows.iter().filter(|r| r.id.address == address(of)).max_by_key(|r| r.id.life).map(|r| r.standing)
+        self.members[n].row(address(of)).map(|row| row.standing)
     }
 
     /// Whether all that run hold this of one.
@@ -161,12 +160,12 @@
     /// Whether all that run hold all that run for alive, in the lives that they have now.
     pub fn whole(&self) -> bool {
         let ids: Vec<&Id> = self.running().map(|n| self.members[n].id()).collect();
-        self.running().all(|n| {
-            let table = self.members[n].table();
-            let alive: BTreeSet<&Id> =
-                table.iter().filter(|r| r.standing == Standing::Alive).map(|r| &r.id).collect();
-            ids.iter().all(|id| alive.contains(id))
-        })
+        let alive = |n: usize, id: &Id| {
+            self.members[n]
+                .row(id.address)
+                .is_some_and(|row| row.id == *id && row.standing == Standing::Alive)
+        };
+        self.running().all(|n| ids.iter().all(|id| alive(n, id)))
     }
 
     /// Runs until it holds, and tells when; panics where it does not by then.
