Membership and the watch: one way into foca, one set of defaults, one reader with paths

Read over. membership: what goes into foca goes through one function, three copies before; its defaults are those of the operators' file, which stood in two places; a constant for the key that nobody used goes; one reckoning of microseconds. config: a list of the host group is read by the same function as all else. engine: when a broken watch may pass is told where its pause is chosen. Behaviour is the same, but that a list at fault as a whole has no '.: ' before its fault.

--- a/config/src/hosts.rs
+++ b/config/src/hosts.rs
@@ -1,6 +1,6 @@
 //! The host group in discovery's form, as `known` and as discovery itself writes it.
 
-use crate::Error;
+use crate::{Error, read};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use stepusher::{Entry, Lifecycle, WorkerId};
@@ -76,8 +76,7 @@
     /// # Errors
     /// The text is no list; the error names the key.
     pub fn read(text: &[u8]) -> Result<HostList, Error> {
-        let mut json = serde_json::Deserializer::from_slice(text);
-        serde_path_to_error::deserialize(&mut json).map_err(|e| Error::new(e.path().to_string(), e.inner()))
+        read("", &mut serde_json::Deserializer::from_slice(text))
     }
 
     /// Whether every entry reads in these words; the error names the key.
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -15,15 +15,14 @@
 pub use settings::settings_from;
 use settings::{Conf, settings};
 
-use serde::Deserialize;
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use std::net::SocketAddr;
 use stepusher::{Effect, Micros, Settings};
 
 /// Reads one value; a fault of form names the key below `parent`.
-fn read<T: DeserializeOwned>(parent: &str, value: Value) -> Result<T, Error> {
-    serde_path_to_error::deserialize(value)
+fn read<'de, T: Deserialize<'de>>(parent: &str, from: impl Deserializer<'de>) -> Result<T, Error> {
+    serde_path_to_error::deserialize(from)
         .map_err(|e| Error::new(e.path().to_string(), e.inner()).within(parent))
 }
 
--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -97,17 +97,6 @@
     Malformed(Error),
 }
 
-impl WatchEnd {
-    /// Whether an agent that ends a watch so may go on at any moment: it starts anew, or its machine does.
-    fn may_pass(&self) -> bool {
-        match self {
-            WatchEnd::Unreachable | WatchEnd::Silent => true,
-            WatchEnd::Unreadable(fault) => matches!(fault, Fault::Closed | Fault::Broken),
-            WatchEnd::Refused(_) | WatchEnd::Malformed(_) => false,
-        }
-    }
-}
-
 impl fmt::Display for WatchEnd {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -203,10 +192,14 @@
             if matches!(end, WatchEnd::Malformed(_) | WatchEnd::Unreadable(Fault::Malformed)) {
                 after = None;
             }
-            // One that has fallen silent is opened anew at once: asks are spread by themselves.
             let pause = match (watch.source, &end) {
+                // Opened anew at once: the asks are spread by themselves.
                 (Source::Pushed, WatchEnd::Silent) => Duration::ZERO,
-                (Source::Pushed, end) if end.may_pass() => watch.backoff.anew(),
+                // The agent starts anew, or its machine does, and may go on at any moment.
+                (
+                    Source::Pushed,
+                    WatchEnd::Unreachable | WatchEnd::Unreadable(Fault::Closed | Fault::Broken),
+                ) => watch.backoff.anew(),
                 _ => watch.backoff.pause(matches!(end, WatchEnd::Refused(_))),
             };
             Timer::after(pause).await;
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -32,7 +32,7 @@
 mod udp;
 
 pub use id::Id;
-pub use seal::{DATAGRAM_MOST, KEY_LEAST, Unsealed};
+pub use seal::{DATAGRAM_MOST, Unsealed};
 pub use state::{Figures, Membership, Settings};
 pub use table::{Row, Standing};
 pub use udp::{run, send, time};
--- a/membership/src/seal.rs
+++ b/membership/src/seal.rs
@@ -14,8 +14,6 @@
 
 /// The most that a datagram holds, in bytes.
 pub const DATAGRAM_MOST: usize = 1_392;
-/// The least that a key holds, in bytes.
-pub const KEY_LEAST: usize = 16;
 const VERSION: u8 = 1;
 const HEAD: usize = 17;
 const CODE: usize = 16;
--- a/membership/src/state.rs
+++ b/membership/src/state.rs
@@ -45,15 +45,20 @@
 }
 
 impl Settings {
-    /// The defaults: a death among hundreds is known within 3 s.
+    /// The operators' defaults: a death among hundreds is known within 3 s.
     pub fn new(key: Vec<u8>) -> Settings {
+        Settings::of(&sorrelhaven_config::Membership::default(), key)
+    }
+
+    /// What the operators set, without seeds.
+    pub fn of(set: &sorrelhaven_config::Membership, key: Vec<u8>) -> Settings {
         Settings {
             key,
             seeds: Vec::new(),
-            probe_period: Duration::from_millis(500),
-            probe_rtt: Duration::from_millis(150),
-            indirect: 3,
-            suspicion: Duration::from_millis(1_200),
+            probe_period: Duration::from_millis(set.probe_period_ms),
+            probe_rtt: Duration::from_millis(set.probe_rtt_ms),
+            indirect: set.indirect,
+            suspicion: Duration::from_millis(set.suspicion_ms),
             forget: Duration::from_secs(3_600),
         }
     }
@@ -176,10 +181,12 @@
     }
 }
 
+type Protocol = Foca<Id, PostcardCodec, SmallRng, Farewells>;
+
 /// One member's view of all, and its part in the protocol.
 pub struct Membership {
     settings: Settings,
-    foca: Foca<Id, PostcardCodec, SmallRng, Farewells>,
+    foca: Protocol,
     seal: Seal,
     left: Rc<RefCell<BTreeSet<Vec<u8>>>>,
     timers: BTreeMap<(Micros, u64), Timer<Id>>,
@@ -195,7 +202,8 @@
     gone: bool,
 }
 
-fn micros(time: Duration) -> Micros {
+/// A length of time; one beyond all use is cut.
+pub(crate) fn micros(time: Duration) -> Micros {
     Micros::try_from(time.as_micros()).unwrap_or(Micros::MAX / 4)
 }
 
@@ -249,11 +257,7 @@
             Err(Unsealed::Forged) => return self.figures.forged += 1,
             Err(Unsealed::Replayed) => return self.figures.replayed += 1,
         };
-        let mut wanted = Wanted::default();
-        if self.foca.handle_data(message, &mut wanted).is_err() {
-            self.figures.senseless += 1;
-        }
-        self.take(now, wanted);
+        self.protocol(now, |foca, wanted| foca.handle_data(message, wanted));
     }
 
     /// Does what is due, and gives all datagrams that are to be sent now, each with where it goes.
@@ -268,11 +272,7 @@
                 }
                 let probe = matches!(timer, Timer::ProbeRandomMember(_));
                 self.figures.probes += u64::from(probe && self.foca.num_members() > 0);
-                let mut wanted = Wanted::default();
-                if self.foca.handle_timer(timer, &mut wanted).is_err() {
-                    self.figures.senseless += 1;
-                }
-                self.take(now, wanted);
+                self.protocol(now, |foca, wanted| foca.handle_timer(timer, wanted));
             }
             if now >= self.table_at {
                 self.follow(now);
@@ -359,15 +359,22 @@
         self.join_at = now + micros(self.settings.probe_period) * if alone { 1 } else { SEED_PERIODS };
         let known = self.foca.iter_members().any(|m| m.id().address == to);
         if to != self.foca.identity().address && !known {
-            let mut wanted = Wanted::default();
             // Whoever listens there is meant; its name is not known yet.
-            if self.foca.announce(Id::new("", 0, to), &mut wanted).is_err() {
-                self.figures.senseless += 1;
-            }
-            self.take(now, wanted);
+            self.protocol(now, |foca, wanted| foca.announce(Id::new("", 0, to), wanted));
         }
     }
 
+    /// Has the protocol do something, and does what it asks for.
+    fn protocol(
+        &mut self,
+        now: Micros,
+        event: impl FnOnce(&mut Protocol, &mut Wanted) -> Result<(), foca::Error>,
+    ) {
+        let mut wanted = Wanted::default();
+        self.figures.senseless += u64::from(event(&mut self.foca, &mut wanted).is_err());
+        self.take(now, wanted);
+    }
+
     fn take(&mut self, now: Micros, wanted: Wanted) {
         self.figures.declared_dead += wanted.declared_dead;
         for (to, message) in wanted.sends {
--- a/membership/src/udp.rs
+++ b/membership/src/udp.rs
@@ -1,5 +1,6 @@
 //! A member on a socket: the only part of this package that knows of I/O and of the time.
 
+use crate::state::micros;
 use crate::{DATAGRAM_MOST, Membership, Micros};
 use async_io::{Async, Timer};
 use futures_lite::future::or;
@@ -13,7 +14,7 @@
 
 /// The time of a member that was made at `begun` with the time 0.
 pub fn time(begun: Instant) -> Micros {
-    Micros::try_from(begun.elapsed().as_micros()).unwrap_or(Micros::MAX / 2)
+    micros(begun.elapsed())
 }
 
 /// Runs a member, made at `begun` with the time 0, for ever.
--- a/node/src/membership.rs
+++ b/node/src/membership.rs
@@ -6,7 +6,7 @@
 use std::cell::RefCell;
 use std::net::UdpSocket;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Instant, SystemTime};
 use tracing::info;
 
 /// This node among the others.
@@ -29,14 +29,7 @@
         // A later start is a greater life.
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let life = u64::try_from(since.as_micros()).unwrap_or(u64::MAX >> 1);
-        let settings = Settings {
-            seeds: peers.seeds,
-            probe_period: Duration::from_millis(set.probe_period_ms),
-            probe_rtt: Duration::from_millis(set.probe_rtt_ms),
-            indirect: set.indirect,
-            suspicion: Duration::from_millis(set.suspicion_ms),
-            ..Settings::new(peers.key)
-        };
+        let settings = Settings { seeds: peers.seeds, ..Settings::of(set, peers.key) };
         info!(%listen, %address, life, "membership");
         let member = Membership::new(Id::new(&config.name, life, address), settings, config.seed, 0);
         let (member, begun) = (Rc::new(RefCell::new(member)), Instant::now());
