Membership: a node without seeds is not awake all the time

The first of a group has no seeds. Its time to ask one stayed in the past, so next() was always over and run() never waited: on the one thread of the node nothing else would have had its turn. At fault: membership/src/state.rs, join(), which returned before it moved join_at on. Test: one_without_seeds_sleeps_until_something_is_due fails before ('awake again at 271484 after 271484') and passes after.

--- a/membership/src/state.rs
+++ b/membership/src/state.rs
@@ -349,14 +349,15 @@
     /// Asks a seed that is not known to live: often while nobody is known, and now and then later. Else members that
     /// found each other through different seeds would stay two groups.
     fn join(&mut self, now: Micros) {
-        let seeds = &self.settings.seeds;
-        if now < self.join_at || seeds.is_empty() {
+        if now < self.join_at {
             return;
         }
-        let to = seeds[self.seed % seeds.len()];
-        self.seed += 1;
+        // Also without seeds: a time that is past for ever would keep the member awake.
         let alone = self.foca.num_members() == 0;
         self.join_at = now + micros(self.settings.probe_period) * if alone { 1 } else { SEED_PERIODS };
+        let seeds = &self.settings.seeds;
+        let Some(&to) = seeds.get(self.seed % seeds.len().max(1)) else { return };
+        self.seed += 1;
         let known = self.foca.iter_members().any(|m| m.id().address == to);
         if to != self.foca.identity().address && !known {
             // Whoever listens there is meant; its name is not known yet.
--- a/membership/tests/cases.rs
+++ b/membership/tests/cases.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sorrelhaven_membership::Standing;
+use sorrelhaven_membership::{Id, Membership, Settings, Standing};
 
 #[test]
 fn sixty_find_each_other_and_a_death_is_known_in_four_seconds() {
@@ -121,3 +121,17 @@
     world.until(at + 10 * S, |w| w.all_hold(5, Standing::Left) && w.all_hold(6, Standing::Dead));
     assert_eq!(world.sum(|f| f.misshapen + f.forged + f.replayed), 0);
 }
+
+/// The first of a group has no seeds. It must not be awake all the time: it would leave its node no time for jobs.
+#[test]
+fn one_without_seeds_sleeps_until_something_is_due() {
+    let settings = Settings::new(b"a key of the tests alone".to_vec());
+    let mut alone = Membership::new(Id::new("n0", 1, address(0)), settings, 3, 0);
+    let mut now = 0;
+    for _ in 0..100 {
+        assert!(alone.tick(now).is_empty(), "there is nobody to send to");
+        let next = alone.next();
+        assert!(next > now, "awake again at {next} after {now}");
+        now = next;
+    }
+}
