--- a/engine/src/counters.rs
+++ b/engine/src/counters.rs
@@ -1,8 +1,12 @@
 //! What the node has taken in, sent and answered.
 
 use std::cell::Cell;
+use std::time::{Duration, Instant};
 use stepusher::Outcome;
 
+/// A client that has left must not have its request sent on from so long after it left.
+pub const LATE: Duration = Duration::from_millis(300);
+
 /// One count.
 #[derive(Default)]
 pub struct Count(Cell<u64>);
@@ -44,6 +48,12 @@
     pub sent: Count,
     /// Executions whose last byte was written.
     pub written: Count,
+    /// Clients that left while their request waited: no execution's last byte had been written.
+    pub lapsed_waiting: Count,
+    /// Executions whose last byte was written after the client had left.
+    pub sent_lapsed: Count,
+    /// Those of them that came [`LATE`] after that, or later.
+    pub sent_lapsed_late: Count,
     /// Server links opened.
     pub server_links: Count,
     /// Probes begun.
@@ -108,6 +118,17 @@
         self.classes.iter().map(|(_, class)| count(class).get()).sum()
     }
 
+    /// Counts an execution whose last byte was written just now, where its client `left` before.
+    pub fn wrote(&self, left: Option<Instant>) {
+        self.written.add();
+        if let Some(left) = left {
+            self.sent_lapsed.add();
+            if left.elapsed() >= LATE {
+                self.sent_lapsed_late.add();
+            }
+        }
+    }
+
     /// Counts how an execution ended.
     pub fn ended(&self, outcome: Outcome) {
         self.outcomes[place(outcome)].add();
@@ -146,6 +167,9 @@
         figures.extend(OUTCOMES.iter().zip(&self.outcomes).map(|(name, count)| (*name, count.get())));
         figures.extend([
             ("written", self.written.get()),
+            ("lapsed_waiting", self.lapsed_waiting.get()),
+            ("sent_lapsed", self.sent_lapsed.get()),
+            ("sent_lapsed_late", self.sent_lapsed_late.get()),
             ("server_links", self.server_links.get()),
             ("probes", self.probes.get()),
             ("lists", self.lists.get()),
--- a/engine/src/execution.rs
+++ b/engine/src/execution.rs
@@ -3,7 +3,7 @@
 //! Dropping the future closes the link, which is how an execution is withdrawn.
 
 use crate::ending::Ending;
-use crate::job::{Mail, Parcel};
+use crate::job::{Fate, Mail, Parcel};
 use crate::links::ServerLink;
 use crate::ways::Ways;
 use async_channel::Sender;
@@ -64,11 +64,13 @@
     pub worker: WorkerId,
     /// When the node stops waiting.
     pub deadline: Instant,
+    /// How far the request has come.
+    pub fate: Rc<Fate>,
 }
 
 /// Runs one execution and reports to the request's mailbox; the last report is how it ended.
 pub async fn run(ways: Rc<Ways>, parcel: Rc<Parcel>, order: Order, mail: Sender<Mail>) {
-    let Order { attempt, worker, deadline } = order;
+    let Order { attempt, worker, deadline, fate } = order;
     let report = |m: Mail| {
         // A request stays until its executions have ended, so there is always someone to read it.
         let _ = mail.try_send(m);
@@ -79,7 +81,8 @@
         Ok(link) => link,
         Err(ending) => return end(ending),
     };
-    ways.counters.written.add();
+    fate.written.set(true);
+    ways.counters.wrote(fate.left.get());
     if parcel.body.length().is_none_or(|length| length > BLOCK as u64) {
         report(Mail::Written { attempt });
     }
--- a/engine/src/job.rs
+++ b/engine/src/job.rs
@@ -3,6 +3,7 @@
 use crate::ending::Ending;
 use crate::places::Place;
 use sorrelhaven_bodies::Spool;
+use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Instant;
@@ -62,6 +63,17 @@
     }
 }
 
+/// How far a request has come, as its executions see it.
+#[derive(Default)]
+pub struct Fate {
+    /// It has its answer, or needs none any more: nothing more is to be sent for it.
+    pub over: Cell<bool>,
+    /// When its client left before that.
+    pub left: Cell<Option<Instant>>,
+    /// The last byte of one of its executions was written.
+    pub written: Cell<bool>,
+}
+
 /// The one final answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -5,8 +5,8 @@
 use crate::counters::{Counters, End};
 use crate::desk::Desk;
 use crate::ending::Ending;
-use crate::execution;
-use crate::job::{Answer, Job, Mail, Parcel};
+use crate::execution::{self, Order};
+use crate::job::{Answer, Fate, Job, Mail, Parcel};
 use crate::places::Place;
 use crate::tasks::Tasks;
 use crate::ways::Ways;
@@ -15,6 +15,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
+use std::time::Instant;
 use stepusher::{Arrival, Event, Micros, RequestId, WorkerId};
 
 /// An execution that has not ended.
@@ -74,8 +75,8 @@
             name,
             mail: mail.clone(),
             reply,
-            answered: false,
             place: None,
+            fate: Rc::default(),
             executions: HashMap::new(),
         };
         self.tasks.spawn(life.run(job, inbox));
@@ -90,8 +91,8 @@
     name: Rc<str>,
     mail: Sender<Mail>,
     reply: Sender<Answer>,
-    answered: bool,
     place: Option<Place>,
+    fate: Rc<Fate>,
     executions: HashMap<u32, Execution>,
 }
 
@@ -113,7 +114,7 @@
             sendable,
         }));
         // A request is over when it has its answer and every execution its outcome.
-        while !(self.answered && self.executions.is_empty()) {
+        while !(self.fate.over.get() && self.executions.is_empty()) {
             let Ok(mail) = inbox.recv().await else { break };
             match mail {
                 Mail::Send { worker, deadline } => {
@@ -147,8 +148,12 @@
                 Mail::PassedOn => self.requests.desk.tell(Event::PassedOn(request)),
                 Mail::Ended { attempt, ending } => self.ended(attempt, ending),
                 Mail::Left => {
-                    if !std::mem::replace(&mut self.answered, true) {
+                    if !self.fate.over.replace(true) {
                         self.place = None;
+                        self.fate.left.set(Some(Instant::now()));
+                        if !self.fate.written.get() {
+                            self.requests.counters.lapsed_waiting.add();
+                        }
                         self.requests.counters.gave(self.class, End::Lapsed);
                         self.requests.desk.tell(Event::Lapsed(request));
                     }
@@ -161,8 +166,9 @@
     fn send(&mut self, parcel: &Rc<Parcel>, attempt: u32, worker: WorkerId, deadline: Micros) {
         let Requests { desk, ways, counters, tasks, .. } = &*self.requests;
         counters.sent.add();
-        let order = execution::Order { attempt, worker, deadline: desk.clock.instant(deadline) };
-        let task = if self.answered {
+        let (deadline, fate) = (desk.clock.instant(deadline), self.fate.clone());
+        let order = Order { attempt, worker, deadline, fate };
+        let task = if self.fate.over.get() {
             let _ = self.mail.try_send(Mail::Ended { attempt, ending: Ending::Concluded });
             tasks.hold(std::future::ready(()))
         } else {
@@ -184,13 +190,13 @@
             self.answer(Answer::Served(result));
         }
         let took = self.requests.desk.clock.now() - sent;
-        let (request, closed, report) = (self.id, self.answered, Vec::new());
+        let (request, closed, report) = (self.id, self.fate.over.get(), Vec::new());
         self.requests.desk.tell(Event::Outcome { request, attempt, worker, outcome, took, closed, report });
     }
 
     /// Gives the client its one answer.
     fn answer(&mut self, answer: Answer) {
-        if !std::mem::replace(&mut self.answered, true) {
+        if !self.fate.over.replace(true) {
             self.place = None;
             let end = match answer {
                 Answer::Served(_) => End::Served,
@@ -205,7 +211,7 @@
 
 impl Drop for Life {
     fn drop(&mut self) {
-        if !self.answered {
+        if !self.fate.over.get() {
             // The client hears of a fault of the node's own.
             self.requests.counters.gave(self.class, End::Failed);
         }
--- a/engine/src/tests/server_link.rs
+++ b/engine/src/tests/server_link.rs
@@ -149,7 +149,7 @@
     let engine = shared::engine(address);
     let (mail, inbox) = async_channel::unbounded();
     let (worker, deadline) = (WorkerId(0), Instant::now() + wait);
-    let order = Order { attempt: 0, worker, deadline };
+    let order = Order { attempt: 0, worker, deadline, fate: Rc::default() };
     shared::run(&engine, execution::run(engine.ways.clone(), parcel(&engine), order, mail));
     let endings: Vec<Ending> = std::iter::from_fn(|| inbox.try_recv().ok())
         .filter_map(|m| if let Mail::Ended { ending, .. } = m { Some(ending) } else { None })
@@ -201,7 +201,12 @@
     assert_eq!(Ending::NoDescriptor.outcome(), Outcome::Moot);
     let engine = shared::engine("127.0.0.1:1".parse().expect("an address"));
     let held: Vec<_> = std::iter::from_fn(|| engine.ways.links.permit()).collect();
-    let order = Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_secs(9) };
+    let order = Order {
+        attempt: 0,
+        worker: WorkerId(0),
+        deadline: Instant::now() + Duration::from_secs(9),
+        fate: Rc::default(),
+    };
     let (mail, inbox) = async_channel::unbounded();
     shared::run(&engine, execution::run(engine.ways.clone(), parcel(&engine), order, mail));
     let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
@@ -223,7 +228,12 @@
         // What is left unread makes this a reset.
     });
     let (mail, inbox) = async_channel::unbounded();
-    let order = Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_secs(9) };
+    let order = Order {
+        attempt: 0,
+        worker: WorkerId(0),
+        deadline: Instant::now() + Duration::from_secs(9),
+        fate: Rc::default(),
+    };
     shared::run(&engine, async {
         let link = engine.ways.links.open(address).await.expect("a link");
         engine.ways.links.put(WorkerId(0), link);
@@ -250,8 +260,12 @@
     (settings.memory.each_bytes, settings.memory.total_bytes) = (64 << 20, 128 << 20);
     engine.bodies.configure(&settings, None);
     let parcel = shared::parcel(&engine, "/api", &vec![b'x'; 64 << 20]);
-    let order =
-        Order { attempt: 0, worker: WorkerId(0), deadline: Instant::now() + Duration::from_millis(200) };
+    let order = Order {
+        attempt: 0,
+        worker: WorkerId(0),
+        deadline: Instant::now() + Duration::from_millis(200),
+        fate: Rc::default(),
+    };
     shared::run(&engine, execution::run(engine.ways.clone(), Rc::new(parcel), order, mail));
     let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
     assert_eq!((ending.clone(), ending.outcome()), (Ending::LateUnwritten, Outcome::ConnectFailed));
