--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -97,6 +97,8 @@
     pub tenants: Vec<String>,
     /// An executor closes a server link that has stood idle for this long.
     pub keepalive: Micros,
+    /// An executor gets nothing new from so long after the node was told that it leaves.
+    pub drain_grace: Micros,
     /// What the decision module is told.
     pub settings: Settings,
     /// The file as it was written, for a reload to compare.
@@ -231,6 +233,7 @@
             classes: site.classes,
             tenants: site.tenants,
             keepalive: site.keepalive,
+            drain_grace: site.drain_grace,
             settings: site.settings,
             written,
         })
@@ -248,6 +251,7 @@
     classes: Vec<ClassName>,
     tenants: Vec<String>,
     keepalive: Micros,
+    drain_grace: Micros,
     settings: Settings,
 }
 
@@ -256,6 +260,7 @@
         let names = Names { zones: conf.zones.clone(), kinds: conf.kinds.clone() };
         let tenants = conf.projects.iter().map(|p| p.name.clone()).collect();
         let (grades, keepalive) = (conf.grade_names(), conf.ceilings.keepalive);
+        let drain_grace = conf.invariants.drain_grace;
         let settings = settings(conf).map_err(|e| e.within("settings"))?;
         let keyed = |i: usize| matches!(settings.classes[i].effect, Effect::Keyed { .. });
         let classes = grades.into_iter().enumerate().map(|(i, name)| ClassName { name, keyed: keyed(i) });
@@ -263,7 +268,7 @@
         if let Some(i) = classes.iter().position(|c| c.name.is_empty()) {
             return Err(Error::new(format!("settings.grades[{i}].name"), "missing"));
         }
-        Ok(Site { names, classes, tenants, keepalive, settings })
+        Ok(Site { names, classes, tenants, keepalive, drain_grace, settings })
     }
 }
 
--- a/config/src/settings.rs
+++ b/config/src/settings.rs
@@ -16,6 +16,11 @@
     15_000_000
 }
 
+/// An executor gets nothing new from so long after its drain was told where the settings do not say.
+fn drain_grace() -> Micros {
+    1_000_000
+}
+
 /// The settings of an instance; keys not named here are passed over.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -35,7 +40,7 @@
     pub(crate) projects: Vec<Project>,
     grades: Vec<Grade>,
     pub(crate) ceilings: Ceilings,
-    invariants: Invariants,
+    pub(crate) invariants: Invariants,
     #[serde(default)]
     family_info: FamilyInfo,
     #[serde(default)]
@@ -103,6 +108,8 @@
 pub(crate) struct Invariants {
     #[serde(default)]
     cold: i64,
+    #[serde(default = "drain_grace")]
+    pub(crate) drain_grace: i64,
     #[serde(default)]
     fall: i64,
     #[serde(default = "one")]
@@ -202,6 +209,7 @@
         ("ceilings.keepalive", c.keepalive),
         ("ceilings.maxRetryAfter", c.max_retry_after),
         ("invariants.cold", rules.cold),
+        ("invariants.drainGrace", rules.drain_grace),
         ("invariants.fall", rules.fall),
         ("familyInfo.progress", info.progress),
         ("round", conf.round),
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -25,6 +25,11 @@
         self.unix + self.start.elapsed().as_micros() as Micros
     }
 
+    /// A point in time of the sockets' timers on this clock.
+    pub fn micros(&self, at: Instant) -> Micros {
+        self.unix + at.saturating_duration_since(self.start).as_micros() as Micros
+    }
+
     /// The same point in time for the sockets' timers.
     pub fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros(at.saturating_sub(self.unix).max(0) as u64)
--- a/engine/src/ending.rs
+++ b/engine/src/ending.rs
@@ -17,6 +17,8 @@
     Returned,
     /// The executor says that the job was killed.
     Lost,
+    /// The executor was told to leave while the link came up; nothing was sent.
+    Leaving,
     /// The host group names no address for it; nothing was sent.
     NoAddress,
     /// The request had its answer before anything was sent.
@@ -61,9 +63,11 @@
             Ending::Failed | Ending::Malformed | Ending::WrongId | Ending::Oversize => Outcome::Error,
             Ending::Returned => Outcome::Full,
             Ending::Unusable => Outcome::Unusable,
-            Ending::Unreachable | Ending::ConnectLate | Ending::BrokenUnwritten | Ending::LateUnwritten => {
-                Outcome::ConnectFailed
-            }
+            Ending::Leaving
+            | Ending::Unreachable
+            | Ending::ConnectLate
+            | Ending::BrokenUnwritten
+            | Ending::LateUnwritten => Outcome::ConnectFailed,
             Ending::Lost | Ending::Stale | Ending::Broken | Ending::Cut => Outcome::Reset,
             Ending::Silent => Outcome::Timeout,
             Ending::Withdrawn => Outcome::Cancelled,
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use stepusher::{Event, Lifecycle, Members, WorkerId};
+use stepusher::{Event, Lifecycle, Members, Micros, WorkerId};
 
 /// How often idle server links are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -43,6 +43,7 @@
     requests: Rc<Requests>,
     probes: Receiver<WorkerId>,
     seed: u64,
+    drain_grace: Micros,
     source: Source,
 }
 
@@ -82,8 +83,20 @@
         desk.tell(Event::Members(Members::Cached(entries)));
         let places = Places::new(tasks.clone());
         let source = if config.settings.subscribe { Source::Asked } else { Source::Pushed };
-        let seed = config.seed;
-        Rc::new(Engine { tasks, desk, ways, bodies, places, counters, requests, probes, seed, source })
+        let (seed, drain_grace) = (config.seed, config.drain_grace);
+        Rc::new(Engine {
+            tasks,
+            desk,
+            ways,
+            bodies,
+            places,
+            counters,
+            requests,
+            probes,
+            seed,
+            drain_grace,
+            source,
+        })
     }
 
     /// Starts what runs as long as the node: the watch on the host group, which goes on from version `seq` at
@@ -117,7 +130,8 @@
     /// Watches the host group, for ever.
     pub async fn watch(&self, discovery: SocketAddr, seq: u64, moved: Receiver<SocketAddr>) {
         let tell = |list: &HostList| self.tell(list);
-        let (counters, source, backoff) = (&*self.counters, self.source, Backoff::new(self.seed));
+        let (counters, source, backoff) =
+            (&*self.counters, self.source, Backoff::new(self.seed, self.drain_grace));
         let watch = Watch { counters, source, backoff };
         host_group::watch(watch, discovery, seq, moved, tell).await;
     }
--- a/engine/src/execution.rs
+++ b/engine/src/execution.rs
@@ -7,6 +7,7 @@
 use crate::links::ServerLink;
 use crate::ways::Ways;
 use async_channel::Sender;
+use futures_lite::future::yield_now;
 use serde::Deserialize;
 use sorrelhaven_bodies::BLOCK;
 use sorrelhaven_wire::{BODY_MOST, Fault, Head, Lines, Link, Start, by};
@@ -51,6 +52,7 @@
 
 /// What the executor's answer has come to so far.
 enum Step {
+    Nothing,
     Started,
     Running(f64),
     Over(Ending),
@@ -76,7 +78,7 @@
         let _ = mail.try_send(m);
     };
     let end = |ending: Ending| report(Mail::Ended { attempt, ending });
-    let begun = begin(&ways, &parcel, worker, deadline, || report(Mail::PassedOn));
+    let begun = begin(&ways, &parcel, worker, deadline, &fate, || report(Mail::PassedOn));
     let mut server_link = match begun.await {
         Ok(link) => link,
         Err(ending) => return end(ending),
@@ -103,6 +105,7 @@
     loop {
         match by(deadline, answer.step(link, &parcel.id)).await {
             None => return end(Ending::Silent),
+            Some(Step::Nothing) => {}
             Some(Step::Started) => report(Mail::Started { attempt }),
             Some(Step::Running(share)) => report(Mail::Running { attempt, share }),
             Some(Step::Over(ending)) => {
@@ -110,6 +113,8 @@
                 break;
             }
         }
+        // One that says something without a pause must not keep the others waiting.
+        yield_now().await;
     }
     if by(Instant::now() + ANSWER_END, answer.rest(link)).await == Some(true) {
         ways.links.put(worker, server_link);
@@ -118,17 +123,28 @@
 
 /// Writes the request to a link, kept or new. Until its last byte is written it has never run. `passed_on` is called
 /// before the first byte of the body that is not kept goes out.
+///
+/// A link may take its time to come up. What has changed meanwhile counts: nothing is sent for a client that has left,
+/// also where attempts can't be called off, and nothing to an executor that was told to leave.
 async fn begin(
     ways: &Ways,
     parcel: &Parcel,
     worker: WorkerId,
     deadline: Instant,
+    fate: &Fate,
     passed_on: impl Fn(),
 ) -> Result<ServerLink, Ending> {
     let up_by = deadline.min(Instant::now() + ways.connect_limit);
     let (address, mut link) = by(up_by, ways.link(worker)).await.ok_or(Ending::ConnectLate)??;
+    if !ways.host_group.takes(worker) {
+        return Err(Ending::Leaving);
+    }
+    if fate.over.get() {
+        ways.links.put(worker, link);
+        return Err(Ending::Concluded);
+    }
     let host = address.to_string();
-    by(deadline, write(ways, parcel, &host, deadline, &mut link.link, passed_on))
+    by(deadline, write(ways, parcel, &host, deadline, &mut link.link, fate, passed_on))
         .await
         .ok_or(Ending::LateUnwritten)??;
     Ok(link)
@@ -142,6 +158,7 @@
     host: &str,
     deadline: Instant,
     link: &mut Link,
+    fate: &Fate,
     passed_on: impl Fn(),
 ) -> Result<(), Ending> {
     let mut body = parcel.body.reader();
@@ -149,6 +166,9 @@
     let mut out = parcel.head(host, deadline, length);
     let (mut piece, mut passing, mut more) = (Vec::new(), false, true);
     while more {
+        if fate.over.get() {
+            return Err(Ending::Concluded);
+        }
         more = match length {
             Some(_) => body.next(&mut out).await,
             None => {
@@ -216,13 +236,11 @@
             400 | 404 => return Step::Over(Ending::Unusable),
             _ => return Step::Over(Ending::Failed),
         }
-        loop {
-            match self.lines.next(link).await {
-                Err(fault) => return self.distrust(Ending::unreadable(fault)),
-                Ok(None) => return self.distrust(Ending::Cut),
-                Ok(Some(line)) if line.trim_ascii().is_empty() => {}
-                Ok(Some(line)) => return self.read(&line, id),
-            }
+        match self.lines.next(link).await {
+            Err(fault) => self.distrust(Ending::unreadable(fault)),
+            Ok(None) => self.distrust(Ending::Cut),
+            Ok(Some(line)) if line.trim_ascii().is_empty() => Step::Nothing,
+            Ok(Some(line)) => self.read(&line, id),
         }
     }
 
@@ -256,7 +274,7 @@
     async fn rest(&mut self, link: &mut Link) -> bool {
         while self.keeps_alive {
             match self.lines.next(link).await {
-                Ok(Some(_)) => {}
+                Ok(Some(_)) => yield_now().await,
                 Ok(None) => return true,
                 Err(Fault::Closed | Fault::Broken | Fault::Malformed) => return false,
                 Err(Fault::HeadTooLarge | Fault::BodyTooLarge) => return false,
--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -13,7 +13,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::task::Poll;
 use std::time::{Duration, Instant};
-use stepusher::{Entry, WorkerId};
+use stepusher::{Entry, Lifecycle, Micros, WorkerId};
 use tracing::{debug, info, warn};
 
 /// The most that one list may hold, white space not counted: 1 KiB an entry for 4,096 executors.
@@ -25,8 +25,11 @@
 /// The least bound after a refusal: discovery is overrun, and each ask more holds up those that wait.
 const REFUSED: Duration = Duration::from_secs(4);
 /// Where lists are pushed, the agent on the node's own machine answers at once and at no cost, and what it has counts
-/// as told. One that is silent may speak again at any moment, so it is asked anew each time between these has passed...
-const ANEW: [Duration; 2] = [Duration::from_millis(400), Duration::from_millis(800)];
+/// as told. One that is silent may speak again at any moment, and then tell of a drain of which the grace runs already:
+/// it is asked anew each time between these shares of that has passed...
+const ANEW: [f64; 2] = [0.2, 0.4];
+/// ...where the grace counts as no less and no more than these...
+const GRACES: [Duration; 2] = [Duration::from_millis(200), Duration::from_secs(2)];
 /// ...with so many asks out at most. An older one may still be the one that is answered.
 const ASKS_MOST: usize = 4;
 
@@ -49,6 +52,7 @@
 struct Known {
     numbers: HashMap<String, WorkerId>,
     addresses: Vec<Option<SocketAddr>>,
+    takes: Vec<bool>,
 }
 
 /// The pauses between asks for the watch: full jitter, each anywhere between nothing and a bound that doubles where the
@@ -59,12 +63,14 @@
 pub struct Backoff {
     rng: fastrand::Rng,
     most: Duration,
+    grace: Duration,
 }
 
 impl Backoff {
-    /// Begins with the shortest bound; equal seeds give equal pauses.
-    pub fn new(seed: u64) -> Backoff {
-        Backoff { rng: fastrand::Rng::with_seed(seed), most: PAUSES[0] }
+    /// Begins with the shortest bound; equal seeds give equal pauses. A drain is to be kept within `grace`.
+    pub fn new(seed: u64, grace: Micros) -> Backoff {
+        let grace = Duration::from_micros(grace.max(0) as u64).clamp(GRACES[0], GRACES[1]);
+        Backoff { rng: fastrand::Rng::with_seed(seed), most: PAUSES[0], grace }
     }
 
     /// The next pause, 16 s at most; longer where discovery refused to answer.
@@ -79,7 +85,7 @@
 
     /// The next pause before an agent on the node's own machine is asked anew, 0.8 s at most; no two nodes in step.
     pub fn anew(&mut self) -> Duration {
-        ANEW[0] + (ANEW[1] - ANEW[0]).mul_f64(self.rng.f64())
+        self.grace.mul_f64(ANEW[0] + (ANEW[1] - ANEW[0]) * self.rng.f64())
     }
 
     /// Begins again with the shortest bound, since a watch has lasted or another agent is asked.
@@ -91,6 +97,9 @@
 /// How one watch ended.
 enum WatchEnd {
     Unreachable,
+    /// No answer has begun.
+    Unanswered,
+    /// It has spoken, and says nothing any more.
     Silent,
     Refused(u16),
     Unreadable(Fault),
@@ -101,6 +110,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             WatchEnd::Unreachable => f.write_str("it could not be reached"),
+            WatchEnd::Unanswered => f.write_str("it did not answer"),
             WatchEnd::Silent => f.write_str("it fell silent"),
             WatchEnd::Refused(status) => write!(f, "it answered {status}"),
             WatchEnd::Unreadable(Fault::BodyTooLarge) => write!(f, "a list of more than {LIST_MOST} bytes"),
@@ -124,11 +134,19 @@
         self.known.borrow().addresses.get(worker.0 as usize).copied().flatten()
     }
 
+    /// Whether the list says that an executor takes new work.
+    pub fn takes(&self, worker: WorkerId) -> bool {
+        self.known.borrow().takes.get(worker.0 as usize).is_some_and(|takes| *takes)
+    }
+
     /// Takes in a list and gives its entries as the module takes them. An entry that does not read is
     /// passed over: one odd host must not hide what the list says of the others.
     pub fn learn(&self, list: &HostList) -> Vec<Entry> {
         let known = &mut *self.known.borrow_mut();
         let mut entries = Vec::new();
+        if list.whole {
+            known.takes.fill(false);
+        }
         for host in &list.hosts {
             let next = WorkerId(known.addresses.len() as u32);
             match host.entry(known.numbers.get(&host.host).copied().unwrap_or(next), &self.names) {
@@ -136,10 +154,12 @@
                     if entry.worker == next {
                         known.numbers.insert(host.host.clone(), next);
                         known.addresses.push(None);
+                        known.takes.push(false);
                     }
                     if host.dial.is_some() {
                         known.addresses[entry.worker.0 as usize] = host.dial;
                     }
+                    known.takes[entry.worker.0 as usize] = entry.lifecycle == Lifecycle::Ready;
                     entries.push(entry);
                 }
                 Err(error) => warn!(host = host.host, %error, "an entry that does not read"),
@@ -194,7 +214,13 @@
             }
             let pause = match (watch.source, &end) {
                 // Opened anew at once: the asks are spread by themselves.
-                (Source::Pushed, WatchEnd::Silent) => Duration::ZERO,
+                (Source::Pushed, WatchEnd::Silent | WatchEnd::Unanswered) => Duration::ZERO,
+                // What it misses counts as told 6 s after it fell silent, half of which have passed: it must not pay for
+                // asks that failed before it spoke.
+                (Source::Asked, WatchEnd::Silent) => {
+                    watch.backoff.reset();
+                    watch.backoff.pause(false)
+                }
                 // The agent starts anew, or its machine does, and may go on at any moment.
                 (
                     Source::Pushed,
@@ -279,7 +305,7 @@
                 None
             };
             match or(ended, anew).await {
-                Some(Err(WatchEnd::Silent)) | None => {}
+                Some(Err(WatchEnd::Unanswered)) | None => {}
                 Some(end) => return end,
             }
         }
@@ -303,7 +329,7 @@
 /// One ask, on a connection of its own, until its answer begins.
 async fn begin(discovery: SocketAddr, query: &str) -> Result<Answered, WatchEnd> {
     let limit = Instant::now() + SILENCE;
-    let link = by(limit, connect(discovery)).await.ok_or(WatchEnd::Silent)?;
+    let link = by(limit, connect(discovery)).await.ok_or(WatchEnd::Unanswered)?;
     ask(link.map_err(|_| WatchEnd::Unreachable)?, discovery, query, limit).await
 }
 
@@ -320,7 +346,7 @@
         let head = link.head(Head::answer).await?;
         Ok((head.start.clone(), Objects::new(head.body()?, LIST_MOST)))
     };
-    match by(limit, begun).await.ok_or(WatchEnd::Silent)?.map_err(WatchEnd::Unreadable)? {
+    match by(limit, begun).await.ok_or(WatchEnd::Unanswered)?.map_err(WatchEnd::Unreadable)? {
         (Start::Answer { status }, _) if status != 200 => Err(WatchEnd::Refused(status)),
         (_, lists) => Ok(Answered { link, lists }),
     }
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -113,8 +113,9 @@
             key,
             sendable,
         }));
-        // A request is over when it has its answer and every execution its outcome.
-        while !(self.fate.over.get() && self.executions.is_empty()) {
+        // A request is over when it has its answer and every execution its outcome, also one that the module has asked
+        // for and that is still in the box: without it the module would count on that execution for ever.
+        while !(self.fate.over.get() && self.executions.is_empty() && inbox.is_empty()) {
             let Ok(mail) = inbox.recv().await else { break };
             match mail {
                 Mail::Send { worker, deadline } => {
--- a/engine/src/tests/endings.rs
+++ b/engine/src/tests/endings.rs
@@ -14,7 +14,8 @@
         Ending::Failed => Ending::Unusable,
         Ending::Unusable => Ending::Returned,
         Ending::Returned => Ending::Lost,
-        Ending::Lost => Ending::NoAddress,
+        Ending::Lost => Ending::Leaving,
+        Ending::Leaving => Ending::NoAddress,
         Ending::NoAddress => Ending::Concluded,
         Ending::Concluded => Ending::Body(Unreadable::Ended(End::ClientBroke)),
         Ending::Body(Unreadable::Ended(_)) => Ending::Body(Unreadable::PassedOn),
@@ -41,7 +42,8 @@
 /// byte was not written.
 fn never_ran(ending: &Ending) -> bool {
     match ending {
-        Ending::Returned | Ending::NoAddress | Ending::Concluded | Ending::Body(_) => true,
+        Ending::Returned | Ending::Leaving | Ending::NoAddress | Ending::Concluded => true,
+        Ending::Body(_) => true,
         Ending::NoDescriptor | Ending::Unreachable | Ending::ConnectLate => true,
         Ending::BrokenUnwritten | Ending::LateUnwritten => true,
         Ending::Done(_) | Ending::Failed | Ending::Unusable | Ending::Lost | Ending::Stale => false,
@@ -80,5 +82,5 @@
         };
         assert!(right, "{ending:?}: {answers:?}");
     }
-    assert_eq!(met, 24);
+    assert_eq!(met, 25);
 }
--- a/front/http1/src/front.rs
+++ b/front/http1/src/front.rs
@@ -9,7 +9,7 @@
 use sorrelhaven_wire::by;
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What this front has taken in, beside the engine's counts.
 #[derive(Default)]
@@ -49,11 +49,14 @@
     pub(crate) leave: Event,
     /// What the node is.
     pub(crate) standing: Rc<Standing>,
+    /// The longest that a client waits, by the settings.
+    longest: Duration,
 }
 
 impl Front {
     /// A front that hands its jobs to `engine` and asks `standing` whether clients are wanted.
     pub fn new(engine: Rc<Engine>, config: &Config, standing: Rc<Standing>) -> Rc<Front> {
+        let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         Rc::new(Front {
             engine,
             classes: config.classes.clone(),
@@ -65,6 +68,7 @@
             link_freed: Event::new(),
             leave: Event::new(),
             standing,
+            longest: Duration::from_micros(longest.max(0) as u64),
         })
     }
 
@@ -106,7 +110,12 @@
     /// Waits until a node that empties can wait no longer for a request whose first byte could come at `first`. One
     /// that comes later is none of those that it waits for.
     pub(crate) async fn hurry(&self, first: Instant) {
-        self.reached(|node| node.whole_by().filter(|by| *by > first)).await;
+        self.reached(|node| node.whole_by(self.longest).filter(|by| *by > first)).await;
+    }
+
+    /// By when a request that came whole at `came` must have its answer, whatever its client allows.
+    pub(crate) fn answer_by(&self, came: Instant) -> Option<Instant> {
+        self.standing.look(|node| node.answer_by(came, self.longest))
     }
 
     /// Has as many client links give way as there are beyond the bound on them.
--- a/front/http1/src/intake.rs
+++ b/front/http1/src/intake.rs
@@ -2,6 +2,7 @@
 
 use crate::front::Front;
 use crate::response::Response;
+use futures_lite::future::or;
 use sorrelhaven_bodies::{BLOCK, End, Step, Writer};
 use sorrelhaven_wire::{Body, Fault, Link, by};
 use std::time::{Duration, Instant};
@@ -73,8 +74,13 @@
             }
             for part in piece.chunks(BLOCK) {
                 let before = Instant::now();
-                if let Err(end) = self.writer.push(part).await {
-                    return Came::Ended(end);
+                // A client that leaves shows at no read while its body waits for room.
+                let left = async {
+                    link.hung_up().await;
+                    Err(End::ClientBroke)
+                };
+                if let Err(end) = or(self.writer.push(part), left).await {
+                    return Came::Ended(self.writer.end(end));
                 }
                 // What the node itself made it wait is not the client's slowness.
                 self.first += before.elapsed();
--- a/front/http1/src/link.rs
+++ b/front/http1/src/link.rs
@@ -110,7 +110,7 @@
 async fn carry(
     front: &Front,
     link: &mut Link,
-    Coming { draft, body, expects, first }: Coming,
+    Coming { mut draft, body, expects, first }: Coming,
     silent: &mut Option<EventListener>,
 ) -> Option<(Response, bool)> {
     let bodies = &front.engine.bodies;
@@ -161,6 +161,9 @@
             }
         }
     };
+    if let Some(by) = front.answer_by(Instant::now()) {
+        draft.hurry(front.engine.desk.clock.micros(by));
+    }
     let Some(ticket) = front.engine.take(draft.job(spool.clone(), true, place)) else {
         return Some((Response::new(409), intake.is_none()));
     };
--- a/front/http1/src/read.rs
+++ b/front/http1/src/read.rs
@@ -52,6 +52,11 @@
         self.due
     }
 
+    /// Its answer must come by then, whatever its client allows.
+    pub fn hurry(&mut self, by: Micros) {
+        self.due = self.due.min(by);
+    }
+
     /// The job with its body, all of it or what has come so far.
     pub fn job(self, body: Spool, sendable: bool, place: Option<Place>) -> Job {
         let Draft { class, due, hint, width, resent, key, id, method, target, headers, .. } = self;
--- a/lifecycle/src/lib.rs
+++ b/lifecycle/src/lib.rs
@@ -32,6 +32,22 @@
 /// After SIGTERM clients may still come for 0.4 s; the rest is a margin. What comes later than 0.7 s after it might
 /// find the node killed before its answer.
 const STOP_IDLE: Duration = Duration::from_millis(550);
+/// What came whole so long after SIGTERM, less a margin, may be answered or not by the time the node is killed; what
+/// came later is lost if it is not.
+const STOP_LATE: Duration = Duration::from_millis(650);
+/// The node may be killed so long after SIGTERM and the longest wait of a client, which counts as...
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// ...so much where it is longer.
+const KILL_LONGEST: Duration = Duration::from_secs(3);
+/// So long before that the last answers must be on their way...
+const KILL_ANSWERED: Duration = Duration::from_millis(100);
+/// ...and the last requests whole, or there is no time to serve them in.
+const KILL_WHOLE: Duration = Duration::from_millis(300);
+
+/// How long after SIGTERM the node may be killed at the earliest.
+fn killed(longest: Duration) -> Duration {
+    longest.min(KILL_LONGEST) + KILL_AFTER
+}
 
 /// What the node is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -162,12 +178,25 @@
         matches!(self.0, Phase::Stopping { .. }) && self.idle_until().is_some_and(|at| now >= at)
     }
 
-    /// By when a request that has begun must be whole, whatever else it must keep to.
-    pub fn whole_by(&self) -> Option<Instant> {
+    /// By when a request that has begun must be whole, whatever else it must keep to, where clients wait for `longest`
+    /// at most.
+    pub fn whole_by(&self, longest: Duration) -> Option<Instant> {
         match self.0 {
             Phase::Drained { since } => Some(since + DRAIN_WHOLE),
-            // What has begun before idle links are closed is still read.
-            Phase::Stopping { .. } | Phase::Starting { .. } | Phase::Serving => None,
+            // What has begun before idle links are closed is still read, as long as it can be answered.
+            Phase::Stopping { since } => Some(since + killed(longest) - KILL_WHOLE),
+            Phase::Starting { .. } | Phase::Serving => None,
+        }
+    }
+
+    /// By when a request that came whole at `came` must have its answer, whatever its client allows, where clients wait
+    /// for `longest` at most: the node may be killed then, and it came too late to be forgiven.
+    pub fn answer_by(&self, came: Instant, longest: Duration) -> Option<Instant> {
+        match self.0 {
+            Phase::Stopping { since } if came >= since + STOP_LATE => {
+                Some(since + killed(longest) - KILL_ANSWERED)
+            }
+            Phase::Stopping { .. } | Phase::Drained { .. } | Phase::Starting { .. } | Phase::Serving => None,
         }
     }
 }
--- a/lifecycle/tests/table.rs
+++ b/lifecycle/tests/table.rs
@@ -5,6 +5,8 @@
 use sorrelhaven_standins::check;
 use std::time::{Duration, Instant};
 
+const LONGEST: Duration = Duration::from_secs(6);
+
 /// A node brought to each of its states, and what it is called.
 fn states(now: Instant) -> Vec<(&'static str, Lifecycle)> {
     let made = |steps: &[fn(&mut Lifecycle, Instant)]| {
@@ -78,7 +80,9 @@
     node.loaded(up);
     assert_eq!(node.phase(), Phase::Drained { since: up }, "its links count from when they could come");
     node.call(Call::Resume, up);
-    assert!(node.ready() && !node.empties() && node.idle_until().is_none() && node.whole_by().is_none());
+    assert!(
+        node.ready() && !node.empties() && node.idle_until().is_none() && node.whole_by(LONGEST).is_none()
+    );
 }
 
 /// The page's bounds: 4 s after the call nothing idle is held and no job is younger than 2 s, so requests end before
@@ -89,7 +93,7 @@
     let mut node = Lifecycle::default();
     node.loaded(now);
     node.call(Call::Drain, now);
-    let (idle, whole) = (node.idle_until().expect("a time"), node.whole_by().expect("a time"));
+    let (idle, whole) = (node.idle_until().expect("a time"), node.whole_by(LONGEST).expect("a time"));
     assert!(idle - now >= Duration::from_millis(500), "{:?}", idle - now);
     assert!(idle < whole && whole - now < Duration::from_secs(2), "{:?}", whole - now);
     // Another drain does not put it off, nor does a SIGTERM in its midst.
@@ -129,3 +133,32 @@
         Ok(())
     });
 }
+
+/// SIGKILL comes 0.7 s and the longest wait after SIGTERM at the earliest, the wait counted as 3 s at most. What came in
+/// the first 0.7 s may be cut off; what came later must have its answer before, and be whole in time for one.
+#[test]
+fn what_comes_late_after_sigterm_is_answered_before_the_node_may_be_killed() {
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let mut node = Lifecycle::default();
+    node.loaded(now);
+    assert_eq!((node.answer_by(at(900), LONGEST), node.whole_by(LONGEST)), (None, None));
+    node.stop(now);
+    for (longest, killed) in [(500, 1_200), (2_000, 2_700), (3_000, 3_700), (60_000, 3_700)] {
+        let longest = Duration::from_millis(longest);
+        assert_eq!(
+            node.answer_by(at(600), longest),
+            None,
+            "what came early has the time that its client gives"
+        );
+        let answer = node.answer_by(at(700), longest).expect("a time");
+        assert!(answer > at(700) && answer + Duration::from_millis(50) <= at(killed), "{longest:?}");
+        let whole = node.whole_by(longest).expect("a time");
+        assert!(whole > at(550) && whole + Duration::from_millis(100) <= answer, "{longest:?}");
+    }
+    // A second signal puts nothing off, nor does a drain.
+    let answer = node.answer_by(at(900), LONGEST);
+    node.stop(at(500));
+    node.call(Call::Drain, at(600));
+    assert_eq!(node.answer_by(at(900), LONGEST), answer);
+}
--- a/node/src/check.rs
+++ b/node/src/check.rs
@@ -7,7 +7,7 @@
 pub fn summary(config: &Config) -> String {
     let Bodies { largest_bytes, memory, files, unkept, .. } = &config.operator.bodies;
     let mut line = format!(
-        "{} listens on {}; {} classes, {} state offices, {} boxes known; bodies of at most {}",
+        "{} listens on {}; {} classes, {} tenants, {} boxes known; bodies of at most {}",
         config.name,
         config.listen,
         config.classes.len(),
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -3,7 +3,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
 
-/// A node that hands licence jobs to issuing boxes.
+/// A node that hands jobs to executors.
 ///
 /// Without a command it runs, as `sorrelhaven run` does.
 #[derive(Parser)]
--- a/node/tests/command.rs
+++ b/node/tests/command.rs
@@ -27,10 +27,7 @@
     assert_eq!(output.status.code(), Some(0), "{output:?}");
     let said = text(&output.stdout);
     assert_eq!(said.lines().count(), 1, "{said}");
-    assert!(
-        said.starts_with("n0 listens on 127.0.0.1:8080; 2 classes, 3 state offices, 1 boxes known"),
-        "{said}"
-    );
+    assert!(said.starts_with("n0 listens on 127.0.0.1:8080; 2 classes, 3 tenants, 1 boxes known"), "{said}");
     assert!(
         said.contains("bodies of at most 64 KiB, in memory 64 KiB each, 8 MiB in all, in no files"),
         "{said}"
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -199,7 +199,7 @@
 }
 
 /// Ends a connection with a reset: what has come and is not read makes it one.
-fn reset(stream: TcpStream) {
+pub fn reset(stream: TcpStream) {
     let _ = stream.set_linger_zero();
     drop(stream);
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,14 +7,16 @@
 mod checker;
 mod client;
 mod disk;
+mod held;
 mod program;
 mod settings;
 
 pub use between::{Between, Carried, Faults};
-pub use boxes::{Act, Boxes, Run, sum, text};
+pub use boxes::{Act, Boxes, Run, reset, sum, text};
 pub use cases::check;
 pub use checker::{Checker, ONCE};
 pub use client::{Ask, Reply};
 pub use disk::{Conduct, StandInDisk};
+pub use held::Held;
 pub use program::{Program, Scratch};
 pub use settings::{boxes_file, one_box};
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -3,15 +3,20 @@
 use crate::body::Body;
 use crate::fault::Fault;
 use crate::head::{HEAD_MOST, Head, Parsed};
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::yield_now;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::cell::RefCell;
 use std::io::{self, Read};
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// The most a body may hold, by the protocol, in bytes.
 pub const BODY_MOST: usize = 64 * 1024;
+/// How often a connection on which more has come than is read is looked at for its end. A client that leaves while its
+/// request waits must be known to have left in less than 0.3 s.
+const END_LOOK: Duration = Duration::from_millis(100);
 /// What is taken of a body at once, in bytes.
 const BODY_PIECE: usize = 64 * 1024;
 
@@ -84,7 +89,20 @@
                 return;
             }
         }
-        std::future::pending().await
+        self.hung_up().await;
+    }
+
+    /// Waits until the other side has ended the connection, whatever of it is unread. What is unread makes the socket
+    /// readable all the time, so the end is looked for now and then.
+    pub async fn hung_up(&self) {
+        while !self.is_hung_up() {
+            Timer::after(END_LOOK).await;
+        }
+    }
+
+    fn is_hung_up(&self) -> bool {
+        let mut ends = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
+        poll(&mut ends, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|n| n > 0)
     }
 
     /// Whether something has come, or the other side has ended the connection, while it stood idle.
@@ -141,6 +159,8 @@
                 Err(Fault::Closed) if *body == Body::UntilClosed => *body = Body::Done,
                 filled => filled?,
             }
+            // One that sends without a pause what holds nothing must not keep the others waiting.
+            yield_now().await;
         }
     }
 
