--- a/engine/src/tests/watch.rs
+++ b/engine/src/tests/watch.rs
@@ -223,3 +223,30 @@
     });
     assert_eq!(engine.counters.lists.get(), 1);
 }
+
+/// What came of a line counts for nothing until the line is whole, also where the rest never comes.
+#[test]
+fn a_watch_that_falls_silent_in_the_middle_of_a_line_is_asked_for_again_from_where_it_was() {
+    let engine = watched(|agent| {
+        let next = || agent.accept().expect("the node comes").0;
+        let mut torn = next();
+        assert_eq!(target(&mut torn), "/registry/instances?watch=1&after=1");
+        torn.write_all(OPEN).expect("the node reads");
+        let line = list(2, false, &host("s-1", 7).replace("in_service", "terminating"));
+        let half = &line[..line.len() / 2];
+        torn.write_all(format!("{:x}\r\n{half}", line.len()).as_bytes()).expect("the node reads");
+        let silent = Instant::now();
+        let mut whole = next();
+        assert_eq!(target(&mut whole), "/registry/instances?watch=1&after=1");
+        assert!(silent.elapsed() < Duration::from_secs(5), "{:?}", silent.elapsed());
+        // The rest of the old line comes now: nobody listens to that any more.
+        let _ = torn.write_all(format!("{}\r\n", &line[line.len() / 2..]).as_bytes());
+        whole.write_all(OPEN).expect("the node reads");
+        say(&mut whole, &list(3, false, &host("s-2", 2)));
+        assert!(matches!(torn.read(&mut [0]), Ok(0) | Err(_)), "the old one was ended");
+        drop(whole);
+        assert_eq!(target(&mut next()), "/registry/instances?watch=1&after=3");
+    });
+    assert_eq!(engine.counters.lists.get(), 1);
+    assert_eq!(counted(&engine), [2, 0], "the drain was never told whole");
+}
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -322,3 +322,85 @@
         assert!(begun.elapsed() < Duration::from_secs(10), "{:?}", begun.elapsed());
     }
 }
+
+/// An executor turns a request away unstarted, and its client leaves in the pause before another attempt: the executor's
+/// next request is another's.
+#[test]
+fn a_client_that_leaves_between_two_attempts_is_not_sent_on() {
+    for way in WAYS {
+        let (executor, dial) = listener();
+        let (mut node, _scratch) = node(dial, nowhere(), false, "between");
+        let client = asked(&node, "gone", "once", 30_000);
+        let (request, mut link) = first(&executor);
+        assert!(request.contains("Request-Id: gone\r\n"), "{request}");
+        let busy = "HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
+        link.write_all(busy.as_bytes()).expect("the node reads");
+        // It is held now: its one executor is not asked again at once.
+        until(&mut node, "full", 1);
+        leave(&mut node, client, way, 0);
+        // A class that was not turned away is not kept waiting.
+        let mut stays = asked(&node, "stays", "safe", 30_000);
+        let request = next(&mut link).expect("the kept link carries the next request");
+        assert!(request.contains("Request-Id: stays\r\n"), "{request}");
+        link.write_all(done("stays").as_bytes()).expect("the node reads");
+        assert_eq!(Reply::read(&mut stays, Instant::now()).expect("an answer").status, 200);
+        assert_eq!((node.figure("sent"), node.figure("sent_lapsed"), node.figure("in_progress")), (2, 0, 0));
+    }
+}
+
+/// SIGTERM comes while a link to the executor comes up: the request is sent on and served, and then the node ends.
+#[test]
+fn a_request_whose_link_comes_up_after_sigterm_is_served() {
+    let held = Held::new().expect("a listener");
+    let (mut node, _scratch) = node(held.address, nowhere(), true, "term-connect");
+    let mut client = asked(&node, "held", "once", 5_000);
+    until(&mut node, "server_links", 1);
+    node.signal("TERM");
+    node.line("closing");
+    let executor = held.release().expect("a listener");
+    let (request, mut link) = first(&executor);
+    assert!(request.contains("Request-Id: held\r\n"), "{request}");
+    link.write_all(done("held").as_bytes()).expect("the node reads");
+    let reply = Reply::read(&mut client, Instant::now()).expect("an answer");
+    assert_eq!((reply.status, reply.close), (200, true));
+    assert!(node.child.wait().expect("it ends").success());
+}
+
+/// A client goes on sending on its open links while the node ends. What comes before a link's last answer is answered,
+/// on the link that it came on; what crosses the end of a link is never sent on, so that the client may send it again.
+#[test]
+fn what_crosses_the_end_of_a_client_link_is_not_sent_on() {
+    let (executor, dial) = listener();
+    let (mut node, _scratch) = node(dial, nowhere(), true, "crosses");
+    let (mut client, mut resting) =
+        (asked(&node, "one", "once", 5_000), TcpStream::connect(&node.address).expect("it listens"));
+    let (_, mut link) = first(&executor);
+    link.write_all(done("one").as_bytes()).expect("the node reads");
+    assert_eq!(Reply::read(&mut client, Instant::now()).expect("an answer").status, 200);
+    let ask = |stream: &mut TcpStream, id: &str| {
+        let ask = Ask::new(id, "once", b"body".to_vec());
+        stream.set_read_timeout(Some(BOUND)).expect("a socket");
+        stream.write_all((ask.head() + "body").as_bytes())
+    };
+    ask(&mut resting, "two").expect("it reads");
+    assert!(next(&mut link).expect("the kept link carries it").contains("Request-Id: two\r\n"));
+    link.write_all(done("two").as_bytes()).expect("the node reads");
+    assert_eq!(Reply::read(&mut resting, Instant::now()).expect("an answer").status, 200);
+    node.signal("TERM");
+    node.line("closing");
+    // The link is still open: taken, and answered as the last one on it.
+    ask(&mut client, "three").expect("it reads");
+    assert!(next(&mut link).expect("it is sent on").contains("Request-Id: three\r\n"));
+    // Behind it, before its answer: on a link that ends with that answer it is not read.
+    ask(&mut client, "four").expect("the system takes it");
+    link.write_all(done("three").as_bytes()).expect("the node reads");
+    let reply = Reply::read(&mut client, Instant::now()).expect("an answer");
+    assert_eq!((reply.status, reply.close), (200, true));
+    // The one that rests is ended by the node; what was written to it in that moment meets a closed link.
+    let mut end = [0];
+    assert!(matches!(resting.read(&mut end), Ok(0) | Err(_)), "the resting link ends");
+    let _ = ask(&mut resting, "five");
+    let counters = node.line("taken=");
+    assert!(counters.contains("taken=3 served=3 ") && counters.contains("sent=3 "), "{counters}");
+    assert!(node.child.wait().expect("it ends").success());
+}
