A repeat is not sent once its window is over, however late its link comes up

Ruled out: another group (scope is all), a window counted from the wrong send (it is counted from the first that may have run), a second copy (the first had ended). At fault: may_try_again (src/rules.rs) looks at the window when it decides; begin (engine/src/execution.rs) had nothing to look at when the link was up. Send now carries the moment before which it must be written; the ending WindowOver is told to the module as never sent, and it answers the client at once.

Tests: crossings a_repeat_whose_link_comes_up_after_its_window_is_not_sent (fails with the bound taken out: no answer in 5 s, the repeat goes out on release; passes with it), server_link a_repeat_whose_window_is_over_is_not_written.

--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -98,7 +98,7 @@
     fn order(&mut self, action: Action) -> Option<Order> {
         let worker_word = |w: WorkerId| self.worker_words.get(w.0 as usize).cloned();
         Some(match action {
-            Action::Send { request, worker, timeout } => {
+            Action::Send { request, worker, timeout, .. } => {
                 let call = self.calls.get_mut(&request)?;
                 call.outstanding += 1;
                 Order::Relay { call: call.word.clone(), timeout, worker: worker_word(worker)? }
--- a/engine/src/desk.rs
+++ b/engine/src/desk.rs
@@ -75,11 +75,11 @@
         for action in state.actions.drain(..) {
             debug!(?action, "action");
             match action {
-                Action::Send { request, worker, timeout } => {
+                Action::Send { request, worker, timeout, before } => {
                     // The module's time-out is relative and 0 for "until the client gives up": from here on
                     // there are only deadlines.
                     let deadline = if timeout == 0 { Micros::MAX } else { now.saturating_add(timeout) };
-                    post(&state.requests, request, Mail::Send { worker, deadline });
+                    post(&state.requests, request, Mail::Send { worker, deadline, before });
                 }
                 Action::Cancel { request, attempt } => {
                     post(&state.requests, request, Mail::Cancel { attempt });
--- a/engine/src/ending.rs
+++ b/engine/src/ending.rs
@@ -23,6 +23,8 @@
     NoAddress,
     /// The request had its answer before anything was sent.
     Concluded,
+    /// The time in which a repeat is dropped was over before its last byte was written.
+    WindowOver,
     /// The request's body can't be had whole, so its last byte was not sent: the parcel's failure, not the executor's.
     Body(Unreadable),
     /// No descriptor was free for a server link.
@@ -71,7 +73,11 @@
             Ending::Lost | Ending::Stale | Ending::Broken | Ending::Cut => Outcome::Reset,
             Ending::Silent => Outcome::Timeout,
             Ending::Withdrawn => Outcome::Cancelled,
-            Ending::NoAddress | Ending::Concluded | Ending::NoDescriptor | Ending::Body(_) => Outcome::Moot,
+            Ending::NoAddress
+            | Ending::Concluded
+            | Ending::WindowOver
+            | Ending::NoDescriptor
+            | Ending::Body(_) => Outcome::Moot,
         }
     }
 
--- a/engine/src/execution.rs
+++ b/engine/src/execution.rs
@@ -66,25 +66,38 @@
     pub worker: WorkerId,
     /// When the node stops waiting.
     pub deadline: Instant,
+    /// From when on it must not be sent any more; no later than `deadline`.
+    pub before: Instant,
     /// How far the request has come.
     pub fate: Rc<Fate>,
 }
 
+impl Order {
+    /// Whether a repeat would not be dropped any more, though its client still waits.
+    fn window_over(&self) -> bool {
+        self.before < self.deadline && Instant::now() >= self.before
+    }
+
+    /// How it ends that its time is up before its last byte was written.
+    fn late(&self, ending: Ending) -> Ending {
+        if self.window_over() { Ending::WindowOver } else { ending }
+    }
+}
+
 /// Runs one execution and reports to the request's mailbox; the last report is how it ended.
 pub async fn run(ways: Rc<Ways>, parcel: Rc<Parcel>, order: Order, mail: Sender<Mail>) {
-    let Order { attempt, worker, deadline, fate } = order;
+    let Order { attempt, worker, deadline, .. } = order;
     let report = |m: Mail| {
         // A request stays until its executions have ended, so there is always someone to read it.
         let _ = mail.try_send(m);
     };
     let end = |ending: Ending| report(Mail::Ended { attempt, ending });
-    let begun = begin(&ways, &parcel, worker, deadline, &fate, || report(Mail::PassedOn));
-    let mut server_link = match begun.await {
+    let mut server_link = match begin(&ways, &parcel, &order, || report(Mail::PassedOn)).await {
         Ok(link) => link,
         Err(ending) => return end(ending),
     };
-    fate.written.set(true);
-    ways.counters.wrote(fate.left.get());
+    order.fate.written.set(true);
+    ways.counters.wrote(order.fate.left.get());
     if parcel.body.length().is_none_or(|length| length > BLOCK as u64) {
         report(Mail::Written { attempt });
     }
@@ -125,28 +138,33 @@
 /// before the first byte of the body that is not kept goes out.
 ///
 /// A link may take its time to come up. What has changed meanwhile counts: nothing is sent for a client that has left,
-/// also where attempts can't be called off, and nothing to an executor that was told to leave.
+/// also where attempts can't be called off, nothing to an executor that was told to leave, and no repeat once it would
+/// not be dropped.
 async fn begin(
     ways: &Ways,
     parcel: &Parcel,
-    worker: WorkerId,
-    deadline: Instant,
-    fate: &Fate,
+    order: &Order,
     passed_on: impl Fn(),
 ) -> Result<ServerLink, Ending> {
-    let up_by = deadline.min(Instant::now() + ways.connect_limit);
-    let (address, mut link) = by(up_by, ways.link(worker)).await.ok_or(Ending::ConnectLate)??;
+    let Order { worker, deadline, before, ref fate, .. } = *order;
+    let up_by = before.min(Instant::now() + ways.connect_limit);
+    let up = by(up_by, ways.link(worker)).await;
+    let (address, mut link) = up.ok_or_else(|| order.late(Ending::ConnectLate))??;
     if !ways.host_group.takes(worker) {
         return Err(Ending::Leaving);
     }
-    if fate.over.get() {
+    let unsent = match fate.over.get() {
+        true => Some(Ending::Concluded),
+        false => order.window_over().then_some(Ending::WindowOver),
+    };
+    if let Some(ending) = unsent {
         ways.links.put(worker, link);
-        return Err(Ending::Concluded);
+        return Err(ending);
     }
     let host = address.to_string();
-    by(deadline, write(ways, parcel, &host, deadline, &mut link.link, fate, passed_on))
+    by(before, write(ways, parcel, &host, deadline, &mut link.link, fate, passed_on))
         .await
-        .ok_or(Ending::LateUnwritten)??;
+        .ok_or_else(|| order.late(Ending::LateUnwritten))??;
     Ok(link)
 }
 
--- a/engine/src/job.rs
+++ b/engine/src/job.rs
@@ -97,6 +97,8 @@
         worker: WorkerId,
         /// When the module stops waiting.
         deadline: Micros,
+        /// From when on it must not be sent any more.
+        before: Micros,
     },
     /// The module: withdraw an execution.
     Cancel {
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -118,10 +118,10 @@
         while !(self.fate.over.get() && self.executions.is_empty() && inbox.is_empty()) {
             let Ok(mail) = inbox.recv().await else { break };
             match mail {
-                Mail::Send { worker, deadline } => {
+                Mail::Send { worker, deadline, before } => {
                     let attempt = attempts;
                     attempts += 1;
-                    self.send(&parcel, attempt, worker, deadline.min(due));
+                    self.send(&parcel, attempt, worker, (deadline.min(due), before));
                 }
                 Mail::Cancel { attempt } => self.ended(attempt, Ending::Withdrawn),
                 Mail::Refuse { retry_after } => self.answer(Answer::Throttled { retry_after }),
@@ -163,12 +163,13 @@
         }
     }
 
-    /// Begins an execution. One that comes after the answer is never sent.
-    fn send(&mut self, parcel: &Rc<Parcel>, attempt: u32, worker: WorkerId, deadline: Micros) {
+    /// Begins an execution, which waits `until` the first of two times and is not sent any more from the second. One that
+    /// comes after the answer is never sent.
+    fn send(&mut self, parcel: &Rc<Parcel>, attempt: u32, worker: WorkerId, until: (Micros, Micros)) {
         let Requests { desk, ways, counters, tasks, .. } = &*self.requests;
         counters.sent.add();
-        let (deadline, fate) = (desk.clock.instant(deadline), self.fate.clone());
-        let order = Order { attempt, worker, deadline, fate };
+        let (deadline, before) = (desk.clock.instant(until.0), desk.clock.instant(until.1.min(until.0)));
+        let order = Order { attempt, worker, deadline, before, fate: self.fate.clone() };
         let task = if self.fate.over.get() {
             let _ = self.mail.try_send(Mail::Ended { attempt, ending: Ending::Concluded });
             tasks.hold(std::future::ready(()))
--- a/engine/src/tests/endings.rs
+++ b/engine/src/tests/endings.rs
@@ -17,7 +17,8 @@
         Ending::Lost => Ending::Leaving,
         Ending::Leaving => Ending::NoAddress,
         Ending::NoAddress => Ending::Concluded,
-        Ending::Concluded => Ending::Body(Unreadable::Ended(End::ClientBroke)),
+        Ending::Concluded => Ending::WindowOver,
+        Ending::WindowOver => Ending::Body(Unreadable::Ended(End::ClientBroke)),
         Ending::Body(Unreadable::Ended(_)) => Ending::Body(Unreadable::PassedOn),
         Ending::Body(Unreadable::PassedOn) => Ending::Body(Unreadable::Failed),
         Ending::Body(Unreadable::Failed) => Ending::Body(Unreadable::Corrupt),
@@ -43,7 +44,7 @@
 fn never_ran(ending: &Ending) -> bool {
     match ending {
         Ending::Returned | Ending::Leaving | Ending::NoAddress | Ending::Concluded => true,
-        Ending::Body(_) => true,
+        Ending::Body(_) | Ending::WindowOver => true,
         Ending::NoDescriptor | Ending::Unreachable | Ending::ConnectLate => true,
         Ending::BrokenUnwritten | Ending::LateUnwritten => true,
         Ending::Done(_) | Ending::Failed | Ending::Unusable | Ending::Lost | Ending::Stale => false,
--- a/engine/src/tests/server_link.rs
+++ b/engine/src/tests/server_link.rs
@@ -144,18 +144,22 @@
     Rc::new(shared::parcel(engine, "/api?x=1", b"body"))
 }
 
+/// A first execution at the one executor, which waits for so long.
+fn order(wait: Duration) -> Order {
+    let deadline = Instant::now() + wait;
+    Order { attempt: 0, worker: WorkerId(0), deadline, before: deadline, fate: Rc::default() }
+}
+
 /// Runs one execution against `address` and gives how it ended, and how many links stand idle after.
 fn execute(address: std::net::SocketAddr, wait: Duration) -> (Ending, bool) {
     let engine = shared::engine(address);
     let (mail, inbox) = async_channel::unbounded();
-    let (worker, deadline) = (WorkerId(0), Instant::now() + wait);
-    let order = Order { attempt: 0, worker, deadline, fate: Rc::default() };
-    shared::run(&engine, execution::run(engine.ways.clone(), parcel(&engine), order, mail));
+    shared::run(&engine, execution::run(engine.ways.clone(), parcel(&engine), order(wait), mail));
     let endings: Vec<Ending> = std::iter::from_fn(|| inbox.try_recv().ok())
         .filter_map(|m| if let Mail::Ended { ending, .. } = m { Some(ending) } else { None })
         .collect();
     assert_eq!(endings.len(), 1, "one outcome: {endings:?}");
-    (endings[0].clone(), engine.ways.links.take(worker, address).is_some())
+    (endings[0].clone(), engine.ways.links.take(WorkerId(0), address).is_some())
 }
 
 #[test]
@@ -201,12 +205,7 @@
     assert_eq!(Ending::NoDescriptor.outcome(), Outcome::Moot);
     let engine = shared::engine("127.0.0.1:1".parse().expect("an address"));
     let held: Vec<_> = std::iter::from_fn(|| engine.ways.links.permit()).collect();
-    let order = Order {
-        attempt: 0,
-        worker: WorkerId(0),
-        deadline: Instant::now() + Duration::from_secs(9),
-        fate: Rc::default(),
-    };
+    let order = order(Duration::from_secs(9));
     let (mail, inbox) = async_channel::unbounded();
     shared::run(&engine, execution::run(engine.ways.clone(), parcel(&engine), order, mail));
     let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
@@ -228,12 +227,7 @@
         // What is left unread makes this a reset.
     });
     let (mail, inbox) = async_channel::unbounded();
-    let order = Order {
-        attempt: 0,
-        worker: WorkerId(0),
-        deadline: Instant::now() + Duration::from_secs(9),
-        fate: Rc::default(),
-    };
+    let order = order(Duration::from_secs(9));
     shared::run(&engine, async {
         let link = engine.ways.links.open(address).await.expect("a link");
         engine.ways.links.put(WorkerId(0), link);
@@ -260,12 +254,7 @@
     (settings.memory.each_bytes, settings.memory.total_bytes) = (64 << 20, 128 << 20);
     engine.bodies.configure(&settings, None);
     let parcel = shared::parcel(&engine, "/api", &vec![b'x'; 64 << 20]);
-    let order = Order {
-        attempt: 0,
-        worker: WorkerId(0),
-        deadline: Instant::now() + Duration::from_millis(200),
-        fate: Rc::default(),
-    };
+    let order = order(Duration::from_millis(200));
     shared::run(&engine, execution::run(engine.ways.clone(), Rc::new(parcel), order, mail));
     let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
     assert_eq!((ending.clone(), ending.outcome()), (Ending::LateUnwritten, Outcome::ConnectFailed));
@@ -289,3 +278,17 @@
     }) {}
     assert!(Instant::now() < until, "a link that the executor has closed was kept");
 }
+
+/// What drops a repeat forgets the request at a stated time: a link that comes up in that moment must not carry it.
+#[test]
+fn a_repeat_whose_window_is_over_is_not_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let engine = shared::engine(address);
+    let (mail, inbox) = async_channel::unbounded();
+    let order = Order { before: Instant::now(), ..order(Duration::from_secs(9)) };
+    shared::run(&engine, execution::run(engine.ways.clone(), parcel(&engine), order, mail));
+    let Ok(Mail::Ended { ending, .. }) = inbox.try_recv() else { panic!("no outcome") };
+    assert_eq!((ending.clone(), ending.outcome()), (Ending::WindowOver, Outcome::Moot));
+    assert_eq!(engine.counters.written.get(), 0);
+}
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -18,7 +18,9 @@
             "settings":{{"balancers":1,"ceilings":{{"maxAttempts":3,"dialTimeout":15000000,"cancel":{cancel}}},
                 "invariants":{{"drainGrace":1000000}},"familyInfo":{{"tellsStart":true}},
                 "grades":[{{"name":"safe","aim":200000,"deadline":5000000,"lateValue":0.5,"effect":"idempotent"}},
-                    {{"name":"once","aim":200000,"deadline":5000000,"lateValue":0.5,"effect":"at_most_once"}}]}}}}"#,
+                    {{"name":"once","aim":200000,"deadline":5000000,"lateValue":0.5,"effect":"at_most_once"}},
+                    {{"name":"drops","aim":200000,"deadline":5000000,"lateValue":0.5,"effect":"deduplicated",
+                        "dedupScope":"all","repeatWindow":{WINDOW}}}]}}}}"#,
         host(dial, "in_service")
     );
     let scratch = Scratch::new(name);
@@ -27,6 +29,9 @@
     (program, scratch)
 }
 
+/// For so long executors drop a repeat of class `drops`, in microseconds.
+const WINDOW: u64 = 1_500_000;
+
 fn host(dial: SocketAddr, health: &str) -> String {
     format!(r#"{{"host":"s-1","dial":"{dial}","health":"{health}"}}"#)
 }
@@ -404,3 +409,34 @@
     assert!(counters.contains("taken=3 served=3 ") && counters.contains("sent=3 "), "{counters}");
     assert!(node.child.wait().expect("it ends").success());
 }
+
+/// Executors drop a repeat for a stated time. One that was begun within it, on a link that comes up after it, would run
+/// twice: it is not written, and its client hears in time that it may try again.
+#[test]
+fn a_repeat_whose_link_comes_up_after_its_window_is_not_sent() {
+    let (executor, dial) = listener();
+    let held = Held::new().expect("a listener");
+    let (agent, discovery) = listener();
+    let (mut node, _scratch) = node(dial, discovery, true, "window");
+    let mut watch = watch(&agent);
+    let begun = Instant::now();
+    let mut client = asked(&node, "twice", "drops", 30_000);
+    let (_, link) = first(&executor);
+    tell(
+        &mut watch,
+        2,
+        &format!("{},{}", host(dial, "terminating"), host(held.address, "in_service").replace("s-1", "s-2")),
+    );
+    until(&mut node, "lists", 1);
+    // It may have run; the other executor is tried, where connections do not come up.
+    reset(link);
+    until(&mut node, "server_links", 2);
+    let reply = Reply::read(&mut client, begun).expect("an answer");
+    assert_eq!(reply.status, 503, "a repeat is harmless where it is dropped everywhere");
+    assert!(reply.took < Duration::from_secs(5), "{:?}", reply.took);
+    let executor = held.release().expect("a listener");
+    let _client = asked(&node, "stays", "safe", 30_000);
+    let (request, _link) = first(&executor);
+    assert!(request.contains("Request-Id: stays\r\n"), "{request}");
+    assert_eq!((node.figure("reset"), node.figure("moot")), (1, 1));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -324,6 +324,8 @@
         worker: WorkerId,
         /// The time-out of this attempt; 0: until the client gives up.
         timeout: Micros,
+        /// From this moment on it must not be sent any more: what drops a repeat forgets the request then.
+        before: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -658,7 +658,7 @@
         let t_init = (slack / 2.0) as Micros;
         let t = (t_init as f64 * (1.0 - BETA * self.excess(w) as f64)) as Micros;
         let check = (now + t.max(3 * START_GRACE)).min(r.due);
-        let cold = self.warmth(w, now) < 1.0;
+        let (cold, before) = (self.warmth(w, now) < 1.0, self.repeat_until(r));
         let debt = if cold { self.cold_debt(worker, now).max(0.0) + self.cold_cost(r) } else { 0.0 };
         let Some(r) = self.requests.get_mut(&id) else { return };
         let (request, number, started) = (id, r.attempts, None);
@@ -673,7 +673,7 @@
         w.keys.sent(key, kept);
         w.in_flight.push(Attempt { request, number, class, size, width, sent: now, wanted, started });
         (w.cold_debt, w.cold_at) = (debt, now);
-        actions.push(Action::Send { request: id, worker, timeout: 0 });
+        actions.push(Action::Send { request, worker, timeout: 0, before });
         self.check_at(id, check);
     }
 
@@ -818,13 +818,16 @@
 
     /// Whether the request may have a further attempt at all.
     fn may_try_again(&self, r: &Request, now: Micros) -> bool {
-        r.attempts < self.settings.limits.max_attempts.max(1)
-            && !r.spent
-            && match (self.settings.classes[r.class].effect, r.ran) {
-                (Effect::Unsafe, Some(_)) => false,
-                (Effect::Keyed { window, .. }, Some((_, at))) => now - at < window,
-                _ => true,
-            }
+        r.attempts < self.settings.limits.max_attempts.max(1) && !r.spent && now < self.repeat_until(r)
+    }
+
+    /// Until when the request may be sent; a link that comes up later must not carry it.
+    fn repeat_until(&self, r: &Request) -> Micros {
+        match (self.settings.classes[r.class].effect, r.ran) {
+            (Effect::Unsafe, Some(_)) => Micros::MIN,
+            (Effect::Keyed { window, .. }, Some((_, at))) => at.saturating_add(window),
+            _ => Micros::MAX,
+        }
     }
 
     /// Whether this send keeps the rules. The request may still have one attempt out, to be withdrawn first.
