--- a/src/rules.rs
+++ b/src/rules.rs
@@ -148,7 +148,6 @@
     wanted: Micros,
     attempts: u32,
     out: Option<(WorkerId, u32)>,
-    started: bool,
     streaming: bool,
     spent: bool,
     cancelled: bool,
@@ -165,7 +164,6 @@
     workers: Vec<Worker>,
     kinds: Vec<Kind>,
     fleet: Epc,
-    mean_rating: f64,
     ratings: f64,
     per_weight: f64,
     apart: f64,
@@ -272,25 +270,21 @@
     // ---- Membership ----
 
     fn on_members(&mut self, members: Members, actions: &mut Vec<Action>) {
-        let cached = matches!(members, Members::Cached(_));
-        let full = !matches!(members, Members::Delta(_));
-        match members {
+        let (entries, full, cached) = match members {
             Members::Failed => {
                 let pause = WATCH_PAUSE << self.watch_failures.min(4);
                 let jitter = self.rng.i64(0..pause / 2 + 1);
                 self.watch_failures += 1;
-                actions.push(Action::Timer { delay: pause + jitter, token: WATCH });
-                return;
-            }
-            Members::Delta(entries) | Members::Full(entries) | Members::Cached(entries) => {
-                if full {
-                    self.workers.iter_mut().for_each(|w| w.entry.lifecycle = Lifecycle::Gone);
-                }
-                for entry in entries {
-                    self.on_entry(entry);
-                }
+                return actions.push(Action::Timer { delay: pause + jitter, token: WATCH });
             }
+            Members::Delta(entries) => (entries, false, false),
+            Members::Full(entries) => (entries, true, false),
+            Members::Cached(entries) => (entries, true, true),
+        };
+        if full {
+            self.workers.iter_mut().for_each(|w| w.entry.lifecycle = Lifecycle::Gone);
         }
+        entries.into_iter().for_each(|entry| self.on_entry(entry));
         if cached && self.settings.subscribe {
             actions.push(Action::Watch);
         } else {
@@ -301,7 +295,6 @@
         let ready = || self.workers.iter().filter(|w| w.ready()).map(|w| &w.entry);
         let own = ready().filter(|e| e.zone == self.settings.zone).count();
         self.ratings = ready().map(|e| e.rating).sum();
-        self.mean_rating = if self.ratings > 0.0 { self.ratings / self.ready.len() as f64 } else { 1.0 };
         self.apart = (own as f64 / ZONE).max(1.0);
         self.beyond = (self.apart - LARGE).max(0.0);
         self.set_stale = true;
@@ -405,7 +398,8 @@
     /// Works out a worker's EPC when warm, from its record in each class, in all, its kind's and its rating.
     fn estimate(&mut self, id: WorkerId) {
         let w = self.worker(id);
-        let rated = (w.entry.rating / self.mean_rating).sqrt().clamp(0.5, 2.0);
+        let mean_rating = self.ratings / self.ready.len().max(1) as f64;
+        let rated = (w.entry.rating / mean_rating.max(1e-9)).sqrt().clamp(0.5, 2.0);
         let by_rating = self.fleet.mean(1.0, PRIOR) * rated;
         let by_kind = self.kind(w).epc.mean(by_rating, PRIOR);
         let (sum, n) = w.epc.iter().fold((0.0, 0.0), |a, e| (a.0 + e.sum, a.1 + e.n));
@@ -443,16 +437,11 @@
         c / (1.0 + ALPHA * (self.excess(w) as f64 + overdue.count() as f64))
     }
 
-    /// Something that ranks workers has changed.
-    fn change(&mut self) {
-        self.stale.fill(true);
-    }
-
     /// Ranks the workers for a class again if anything that ranks them has changed.
     fn rank(&mut self, class: usize, now: Micros) {
         if std::mem::take(&mut self.set_stale) || now >= self.set_until {
             self.choose_set(now);
-            self.change();
+            self.stale.fill(true);
         }
         if !std::mem::take(&mut self.stale[class]) {
             return;
@@ -665,7 +654,6 @@
         let Request { class, size, width, wanted, key, .. } = *r;
         r.attempts += 1;
         r.out = Some((worker, number));
-        r.started = false;
         r.cancelled = false;
         r.tried.push(worker);
         let kept = (KEPT_PER_SLOT * self.kind(self.worker(worker)).slots).ceil() as usize;
@@ -683,7 +671,7 @@
     }
 
     fn on_started(&mut self, now: Micros, sent: Sent) {
-        let (request, attempt, worker) = sent;
+        let worker = sent.2;
         self.worker_mut(worker).alive = now;
         let Some(a) = self.attempt(sent) else { return };
         if a.started.is_none() {
@@ -695,9 +683,6 @@
         let running: f64 = w.in_flight.iter().filter(|a| a.started.is_some()).map(|a| a.width).sum();
         let kind = w.entry.kind;
         self.kinds[kind].slots = self.kinds[kind].slots.max(running);
-        if let Some(r) = self.requests.get_mut(&request) {
-            r.started |= r.out == Some((worker, attempt));
-        }
     }
 
     /// So long a job of this class has waited at a worker, for its start or in vain.
@@ -752,16 +737,16 @@
         };
         let safe = self.settings.classes[r.class].effect != Effect::Unsafe;
         let again = safe && self.may_try_again(r, now) && self.settings.limits.cancel;
-        if r.started || r.cancelled || !again || !self.settings.tells_start {
+        let w = self.worker(worker);
+        let Some(a) = w.unstarted().find(|a| a.request == id && a.number == number) else { return };
+        if r.cancelled || !again || !self.settings.tells_start {
             return;
         }
         if now >= r.wanted {
             return self.give_up(id, actions);
         }
         // Not started in time T: this worker has timed out, unless it has shown life and is only behind.
-        let w = self.worker(worker);
-        let alive = w.unstarted().any(|a| a.request == id && a.number == number && w.alive > a.sent);
-        let other = if alive { None } else { self.pick(id, now) };
+        let other = if w.alive > a.sent { None } else { self.pick(id, now) };
         let Some(r) = self.requests.get_mut(&id) else { return };
         if other.is_some_and(|o| o != worker) && self.repeats >= 1.0 {
             self.repeats -= 1.0;
@@ -916,7 +901,7 @@
                     self.kinds[kind].epc.add(ratio, 2.0 * HISTORY);
                 }
                 self.estimate(id);
-                self.change();
+                self.stale.fill(true);
             }
             Outcome::Moot | Outcome::Unusable => {}
             // A connection has broken, not a worker that lives: of one that has died the next connect tells.
