Where no start is told a node keeps to its share of the slots, and load reports are read

Without start notes room() (src/rules.rs) let every job through, so queues grew at the boxes, where nothing orders them, and short jobs were late behind long ones. So reports tell how many slots there are, and no more: what they leave free is late, and others fill it. Ratings that fall with what a box holds (weights live) were taken for size in four places, the cold budget among them: a cold box that holds nothing seemed large. The largest rating of its kind stands for it now. The node reads reports in the line or the head that ends an attempt; one that does not read is counted and dropped.

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -99,6 +99,8 @@
     pub keepalive: Micros,
     /// An executor gets nothing new from so long after the node was told that it leaves.
     pub drain_grace: Micros,
+    /// The fields of a load report, in the order in which the module takes them; none where there are no reports.
+    pub load_fields: Vec<String>,
     /// A node that has to ask for the list is taken to know what stood there so long before; four times as long after a
     /// call that failed.
     pub ask_within: Micros,
@@ -238,6 +240,7 @@
             keepalive: site.keepalive,
             drain_grace: site.drain_grace,
             ask_within: site.ask_within,
+            load_fields: site.load_fields,
             settings: site.settings,
             written,
         })
@@ -257,6 +260,7 @@
     keepalive: Micros,
     drain_grace: Micros,
     ask_within: Micros,
+    load_fields: Vec<String>,
     settings: Settings,
 }
 
@@ -265,6 +269,7 @@
         let names = Names { zones: conf.zones.clone(), kinds: conf.kinds.clone() };
         let tenants = conf.projects.iter().map(|p| p.name.clone()).collect();
         let (grades, keepalive) = (conf.grade_names(), conf.ceilings.keepalive);
+        let load_fields = conf.report_fields();
         let (drain_grace, ask_within) = (conf.invariants.drain_grace, conf.invariants.ask_within);
         let settings = settings(conf).map_err(|e| e.within("settings"))?;
         let keyed = |i: usize| matches!(settings.classes[i].effect, Effect::Keyed { .. });
@@ -273,7 +278,7 @@
         if let Some(i) = classes.iter().position(|c| c.name.is_empty()) {
             return Err(Error::new(format!("settings.grades[{i}].name"), "missing"));
         }
-        Ok(Site { names, classes, tenants, keepalive, drain_grace, ask_within, settings })
+        Ok(Site { names, classes, tenants, keepalive, drain_grace, ask_within, load_fields, settings })
     }
 }
 
--- a/config/src/settings.rs
+++ b/config/src/settings.rs
@@ -56,6 +56,8 @@
     callers: Callers,
     #[serde(default)]
     round: i64,
+    #[serde(default)]
+    weights: String,
 }
 
 /// A request class.
@@ -158,9 +160,15 @@
 #[serde(default)]
 pub(crate) struct Report {
     fields: Vec<String>,
+    how: String,
 }
 
 impl Conf {
+    /// The fields of a load report, in their order; none where answers hold no reports.
+    pub(crate) fn report_fields(&self) -> Vec<String> {
+        if self.report.how == "answers" { self.report.fields.clone() } else { Vec::new() }
+    }
+
     /// The classes' names, in their order.
     pub(crate) fn grade_names(&self) -> Vec<String> {
         self.grades.iter().map(|g| g.name.clone()).collect()
@@ -273,6 +281,7 @@
         tells_start: info.tells_start,
         progress: info.progress,
         tick: conf.round,
+        live_weights: conf.weights == "live",
         report: ReportFields {
             util: field("cpu_share"),
             free_slots: field("x0").filter(|_| info.report_x0.contains("free slots")),
--- a/engine/src/counters.rs
+++ b/engine/src/counters.rs
@@ -54,6 +54,10 @@
     pub sent_lapsed: Count,
     /// Those of them that came [`LATE`] after that, or later.
     pub sent_lapsed_late: Count,
+    /// Load reports taken.
+    pub loads: Count,
+    /// Load reports that did not read, and were dropped.
+    pub loads_unread: Count,
     /// Server links opened.
     pub server_links: Count,
     /// Probes begun.
@@ -170,6 +174,8 @@
             ("lapsed_waiting", self.lapsed_waiting.get()),
             ("sent_lapsed", self.sent_lapsed.get()),
             ("sent_lapsed_late", self.sent_lapsed_late.get()),
+            ("loads", self.loads.get()),
+            ("loads_unread", self.loads_unread.get()),
             ("server_links", self.server_links.get()),
             ("probes", self.probes.get()),
             ("lists", self.lists.get()),
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -6,6 +6,7 @@
 use crate::host_group::{self, Backoff, HostGroup, Source, Watch};
 use crate::job::Job;
 use crate::links::{Descriptors, Links};
+use crate::load::Fields;
 use crate::places::Places;
 use crate::probe;
 use crate::request::{Requests, Ticket};
@@ -65,6 +66,7 @@
             links: Links::new(descriptors, micros(config.keepalive), counters.clone()),
             tasks: tasks.clone(),
             counters: counters.clone(),
+            loads: Fields::new(config.load_fields.clone()),
             connect_limit,
         });
         let parties = config.classes.len() * config.tenants.len().max(1);
--- a/engine/src/execution.rs
+++ b/engine/src/execution.rs
@@ -9,6 +9,7 @@
 use async_channel::Sender;
 use futures_lite::future::yield_now;
 use serde::Deserialize;
+use serde_json::Value;
 use sorrelhaven_bodies::BLOCK;
 use sorrelhaven_wire::{BODY_MOST, Fault, Head, Lines, Link, Start, by};
 use std::rc::Rc;
@@ -46,6 +47,8 @@
 struct JobLine<'a> {
     #[serde(borrow)]
     id: std::borrow::Cow<'a, str>,
+    /// The executor's load, beside the news that ends an attempt.
+    load: Option<Value>,
     #[serde(flatten)]
     news: News,
 }
@@ -91,7 +94,7 @@
         // A request stays until its executions have ended, so there is always someone to read it.
         let _ = mail.try_send(m);
     };
-    let end = |ending: Ending| report(Mail::Ended { attempt, ending });
+    let end = |ending: Ending| report(Mail::Ended { attempt, ending, load: Vec::new() });
     let mut server_link = match begin(&ways, &parcel, &order, || report(Mail::PassedOn)).await {
         Ok(link) => link,
         Err(ending) => return end(ending),
@@ -122,7 +125,7 @@
             Some(Step::Started) => report(Mail::Started { attempt }),
             Some(Step::Running(share)) => report(Mail::Running { attempt, share }),
             Some(Step::Over(ending)) => {
-                end(ending);
+                report(Mail::Ended { attempt, ending, load: answer.load(&ways) });
                 break;
             }
         }
@@ -235,6 +238,8 @@
     returned: bool,
     keeps_alive: bool,
     lines: Lines,
+    /// The load report of its head, and of the line that ended the attempt.
+    loads: (Option<String>, Option<Value>),
 }
 
 impl Answer {
@@ -243,7 +248,8 @@
         let Start::Answer { status } = head.start else { return Err(Ending::Malformed) };
         let returned = matches!(status, 503 | 504) && head.get("Not-Started") == Some("1");
         let lines = Lines::new(head.body().map_err(Ending::unreadable)?, LINE_MOST);
-        Ok(Answer { status, returned, keeps_alive: head.keeps_alive(), lines })
+        let loads = (head.only("Server-Load").map(str::to_string), None);
+        Ok(Answer { status, returned, keeps_alive: head.keeps_alive(), lines, loads })
     }
 
     async fn step(&mut self, link: &mut Link, id: &str) -> Step {
@@ -277,6 +283,7 @@
         if line.id != id {
             return self.distrust(Ending::WrongId);
         }
+        self.loads.1 = line.load;
         match line.news {
             News::Started => Step::Started,
             News::Running { share } => Step::Running(share),
@@ -288,6 +295,19 @@
         }
     }
 
+    /// The load report that came with the end of the attempt, the line's before the head's. One that does not read is
+    /// dropped: the answer stands.
+    fn load(&self, ways: &Ways) -> Vec<f64> {
+        let read = match &self.loads {
+            (_, Some(line)) => ways.loads.object(line),
+            (Some(head), None) => ways.loads.text(head),
+            (None, None) => return Vec::new(),
+        };
+        let count = if read.is_some() { &ways.counters.loads } else { &ways.counters.loads_unread };
+        count.add();
+        read.unwrap_or_default()
+    }
+
     /// Reads to the end of the answer; whether the link can carry another request.
     async fn rest(&mut self, link: &mut Link) -> bool {
         while self.keeps_alive {
--- a/engine/src/job.rs
+++ b/engine/src/job.rs
@@ -137,6 +137,8 @@
         attempt: u32,
         /// How it ended.
         ending: Ending,
+        /// The executor's load report, in the order of the settings' fields; empty where none came.
+        load: Vec<f64>,
     },
     /// The front: the client has left.
     Left,
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -36,6 +36,7 @@
 mod host_group;
 mod job;
 mod links;
+mod load;
 mod places;
 mod probe;
 mod request;
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -123,7 +123,7 @@
                     attempts += 1;
                     self.send(&parcel, attempt, worker, (deadline.min(due), before));
                 }
-                Mail::Cancel { attempt } => self.ended(attempt, Ending::Withdrawn),
+                Mail::Cancel { attempt } => self.ended(attempt, Ending::Withdrawn, Vec::new()),
                 Mail::Refuse { retry_after } => self.answer(Answer::Throttled { retry_after }),
                 Mail::Fail => self.answer(Answer::Failed),
                 Mail::Started { attempt } => {
@@ -147,7 +147,7 @@
                     }
                 }
                 Mail::PassedOn => self.requests.desk.tell(Event::PassedOn(request)),
-                Mail::Ended { attempt, ending } => self.ended(attempt, ending),
+                Mail::Ended { attempt, ending, load } => self.ended(attempt, ending, load),
                 Mail::Left => {
                     if !self.fate.over.replace(true) {
                         self.place = None;
@@ -171,7 +171,7 @@
         let (deadline, before) = (desk.clock.instant(until.0), desk.clock.instant(until.1.min(until.0)));
         let order = Order { attempt, worker, deadline, before, fate: self.fate.clone() };
         let task = if self.fate.over.get() {
-            let _ = self.mail.try_send(Mail::Ended { attempt, ending: Ending::Concluded });
+            let _ = self.mail.try_send(Mail::Ended { attempt, ending: Ending::Concluded, load: Vec::new() });
             tasks.hold(std::future::ready(()))
         } else {
             tasks.hold(execution::run(ways.clone(), parcel.clone(), order, self.mail.clone()))
@@ -180,7 +180,7 @@
     }
 
     /// Gives an execution its one outcome. Of two ways to end that cross, the first counts.
-    fn ended(&mut self, attempt: u32, ending: Ending) {
+    fn ended(&mut self, attempt: u32, ending: Ending, report: Vec<f64>) {
         let Some(Execution { worker, sent, task }) = self.executions.remove(&attempt) else { return };
         let outcome = ending.outcome();
         self.requests.counters.ended(outcome);
@@ -192,7 +192,7 @@
             self.answer(Answer::Served(result));
         }
         let took = self.requests.desk.clock.now() - sent;
-        let (request, closed, report) = (self.id, self.fate.over.get(), Vec::new());
+        let (request, closed) = (self.id, self.fate.over.get());
         self.requests.desk.tell(Event::Outcome { request, attempt, worker, outcome, took, closed, report });
     }
 
--- a/engine/src/tests/endings.rs
+++ b/engine/src/tests/endings.rs
@@ -83,5 +83,5 @@
         };
         assert!(right, "{ending:?}: {answers:?}");
     }
-    assert_eq!(met, 25);
+    assert_eq!(met, 26);
 }
--- a/engine/src/tests/mod.rs
+++ b/engine/src/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod endings;
+mod load;
 mod places;
 mod request;
 mod server_link;
--- a/engine/src/ways.rs
+++ b/engine/src/ways.rs
@@ -4,6 +4,7 @@
 use crate::ending::Ending;
 use crate::host_group::HostGroup;
 use crate::links::{Links, ServerLink};
+use crate::load::Fields;
 use crate::tasks::Tasks;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,6 +21,8 @@
     pub tasks: Rc<Tasks>,
     /// The counters.
     pub counters: Rc<Counters>,
+    /// The fields of load reports.
+    pub loads: Fields,
     /// A connection not made within this time has failed.
     pub connect_limit: Duration,
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -139,6 +139,8 @@
     pub progress: Micros,
     /// Events come no more often than this.
     pub tick: Micros,
+    /// The ratings in the list are sizes lowered by what the workers held, at some earlier time.
+    pub live_weights: bool,
     /// What a load report holds.
     pub report: ReportFields,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 //!     tells_start: true,
 //!     progress: 0,
 //!     tick: 1_000,
+//!     live_weights: false,
 //!     report: ReportFields::default(),
 //! };
 //! let mut dispatcher = Dispatcher::new(settings, 7);
--- a/src/record.rs
+++ b/src/record.rs
@@ -32,6 +32,8 @@
     pub epc: Epc,
     /// The slots it has been seen to use.
     pub slots: f64,
+    /// The largest rating of one of it, where ratings fall with what a worker holds; else 0.
+    pub size: f64,
     /// How long jobs of a class usually wait for their start, in microseconds; from the fourth on, alike.
     pub wait: [f64; 4],
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -218,20 +218,20 @@
             Event::Members(members) => self.on_members(members, actions),
             Event::Arrival(arrival) => self.on_arrival(now, arrival, actions),
             Event::Started { request, attempt, worker } => self.on_started(now, (request, attempt, worker)),
-            Event::Progress { .. } | Event::Probed { .. } => {}
+            Event::Progress { .. } => {}
+            Event::Probed { worker, report, .. } => self.on_report(worker, &report),
             Event::Streaming { request, attempt, worker } => {
                 self.on_started(now, (request, attempt, worker));
                 self.requests.get_mut(&request).into_iter().for_each(|r| r.streaming = true);
             }
-            Event::Outcome { request, attempt, worker, outcome, took, closed, .. } => {
+            Event::Outcome { request, attempt, worker, outcome, took, closed, report } => {
+                self.on_report(worker, &report);
                 self.on_outcome(now, (request, attempt, worker), (outcome, took, closed), actions);
             }
             Event::Written { request, attempt, worker } => {
                 self.attempt((request, attempt, worker)).into_iter().for_each(|a| a.sent = now)
             }
-            Event::PassedOn(request) => {
-                self.requests.get_mut(&request).into_iter().for_each(|r| r.spent = true)
-            }
+            Event::PassedOn(id) => self.requests.get_mut(&id).into_iter().for_each(|r| r.spent = true),
             Event::Lapsed(request) => self.forget(request, actions),
             Event::Timer(WATCH) => actions.push(Action::Watch),
             // A timer that was overtaken by an earlier one has nothing left to do, and must not set another.
@@ -258,11 +258,12 @@
     }
 
     fn regard(&self, id: WorkerId, now: Micros) -> Regard {
-        let classes = 0..self.settings.classes.len() - 1;
         match self.worker(id) {
             w if !w.ready() => Regard::Draining,
             w if !self.sound(id) || now < w.trial_at => Regard::Failed,
-            _ if classes.into_iter().all(|class| !self.takes(id, class, now)) => Regard::Full,
+            _ if (0..self.settings.classes.len() - 1).all(|class| !self.takes(id, class, now)) => {
+                Regard::Full
+            }
             _ => Regard::Used,
         }
     }
@@ -292,9 +293,8 @@
         }
         let all = (0..self.workers.len() as u32).map(WorkerId);
         self.ready = all.filter(|&id| self.worker(id).ready()).collect();
-        let ready = || self.workers.iter().filter(|w| w.ready()).map(|w| &w.entry);
-        let own = ready().filter(|e| e.zone == self.settings.zone).count();
-        self.ratings = ready().map(|e| e.rating).sum();
+        let own = self.ready.iter().filter(|&&id| self.worker(id).entry.zone == self.settings.zone).count();
+        self.ratings = self.ready.iter().map(|&id| self.size(self.worker(id))).sum();
         self.apart = (own as f64 / ZONE).max(1.0);
         self.beyond = (self.apart - LARGE).max(0.0);
         self.set_stale = true;
@@ -317,8 +317,10 @@
         w.entry = entry;
         w.entry.rating = if w.entry.rating.is_finite() { w.entry.rating.max(0.0) } else { 1.0 };
         w.entry.kind = w.entry.kind.min(KINDS_MOST);
-        let kinds = w.entry.kind + 1;
-        self.kinds.resize(kinds.max(self.kinds.len()), Kind::default());
+        let (kind, rating) = (w.entry.kind, w.entry.rating);
+        self.kinds.resize((kind + 1).max(self.kinds.len()), Kind::default());
+        let size = if self.settings.live_weights { rating } else { 0.0 };
+        self.kinds[kind].size = self.kinds[kind].size.max(size);
     }
 
     /// Chooses the workers that this dispatcher works with: the paper's top N, made narrow. Each one has
@@ -341,7 +343,7 @@
     fn weight(&self, id: WorkerId, now: Micros) -> f64 {
         let w = self.worker(id);
         let apart = if w.entry.zone == self.settings.zone { 1.0 } else { self.apart };
-        w.entry.rating.max(1e-3) * self.warmth(w, now) / apart
+        self.size(w).max(1e-3) * self.warmth(w, now) / apart
     }
 
     /// Up to `most` workers that take work and `fit`, the nearest to a key first. Few are sorted.
@@ -388,6 +390,11 @@
         &self.workers[id.0 as usize]
     }
 
+    /// A worker's size. All would move in step with a late rating: its kind's largest stands for it.
+    fn size(&self, w: &Worker) -> f64 {
+        w.entry.rating.max(self.kinds[w.entry.kind].size)
+    }
+
     fn kind(&self, w: &Worker) -> Kind {
         let known = self.kinds[w.entry.kind];
         Kind { slots: known.slots.max(1.0), ..known }
@@ -398,8 +405,8 @@
     /// Works out a worker's EPC when warm, from its record in each class, in all, its kind's and its rating.
     fn estimate(&mut self, id: WorkerId) {
         let w = self.worker(id);
-        let mean_rating = self.ratings / self.ready.len().max(1) as f64;
-        let rated = (w.entry.rating / mean_rating.max(1e-9)).sqrt().clamp(0.5, 2.0);
+        let rated = self.size(w) * self.ready.len() as f64 / self.ratings.max(1e-9);
+        let rated = rated.sqrt().clamp(0.5, 2.0);
         let by_rating = self.fleet.mean(1.0, PRIOR) * rated;
         let by_kind = self.kind(w).epc.mean(by_rating, PRIOR);
         let (sum, n) = w.epc.iter().fold((0.0, 0.0), |a, e| (a.0 + e.sum, a.1 + e.n));
@@ -510,15 +517,25 @@
     fn room(&self, id: WorkerId, now: Micros) -> bool {
         let w = self.worker(id);
         if !self.settings.tells_start {
-            return now >= w.trial_at;
+            // Nothing tells of a queue there, so none is begun: this one keeps to its share of the slots.
+            let out: f64 = w.in_flight.iter().map(|a| a.width).sum();
+            let share = self.kind(w).slots / f64::from(self.settings.balancers.max(1));
+            return now >= w.trial_at && out + 1.0 <= share.max(1.0);
         }
-        let waiting = w.unstarted().count() as f64;
         let running: f64 = w.in_flight.iter().filter(|a| a.started.is_some()).map(|a| a.width).sum();
         now >= w.trial_at
-            && waiting < (self.kind(w).slots - running).max(1.0)
+            && (w.unstarted().count() as f64) < (self.kind(w).slots - running).max(1.0)
             && w.unstarted().all(|a| now - a.sent < START_GRACE)
     }
 
+    /// Takes a load report in. Others fill what it says is free: it tells only how many slots there are.
+    fn on_report(&mut self, id: WorkerId, report: &[f64]) {
+        let free = self.settings.report.free_slots.and_then(|i| report.get(i));
+        let Some(free) = free.filter(|f| (0.0..=1024.0).contains(*f)) else { return };
+        let kind = self.worker_mut(id).entry.kind;
+        self.kinds[kind].slots = self.kinds[kind].slots.max(free.round());
+    }
+
     /// When a job sent now would end, where a crossing that has a price counts as so much time.
     fn ends(&self, r: &Request, id: WorkerId, now: Micros) -> f64 {
         let crosses = self.worker(id).entry.zone != self.settings.zone;
@@ -644,8 +661,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         // T = T_init − β·R: half of the slack this job has, so that another worker can still be in time.
         let slack = r.wanted.saturating_sub(now) as f64 - r.size / self.penalised(w, r.class, now);
-        let t_init = (slack / 2.0) as Micros;
-        let t = (t_init as f64 * (1.0 - BETA * self.excess(w) as f64)) as Micros;
+        let t = (slack / 2.0 * (1.0 - BETA * self.excess(w) as f64)) as Micros;
         let check = (now + t.max(3 * START_GRACE)).min(r.due);
         let (cold, before) = (self.warmth(w, now) < 1.0, self.repeat_until(r));
         let debt = if cold { self.cold_debt(worker, now).max(0.0) + self.cold_cost(r) } else { 0.0 };
@@ -736,12 +752,10 @@
             return if now >= at { self.give_up(id, actions) } else { self.check_at(id, at) };
         };
         let safe = self.settings.classes[r.class].effect != Effect::Unsafe;
-        let again = safe && self.may_try_again(r, now) && self.settings.limits.cancel;
-        let w = self.worker(worker);
-        let Some(a) = w.unstarted().find(|a| a.request == id && a.number == number) else { return };
-        if r.cancelled || !again || !self.settings.tells_start {
-            return;
-        }
+        let may = self.settings.limits.cancel && self.settings.tells_start && !r.cancelled;
+        let (again, w) = (may && safe && self.may_try_again(r, now), self.worker(worker));
+        let out = w.unstarted().find(|a| a.request == id && a.number == number);
+        let Some(a) = out.filter(|_| again) else { return };
         if now >= r.wanted {
             return self.give_up(id, actions);
         }
@@ -795,8 +809,7 @@
         self.checks.remove(&(r.check, id));
         self.held.retain(|h| h.1 != id);
         let may = self.settings.limits.cancel && !r.streaming && !r.cancelled;
-        let out = r.out.filter(|_| may).map(|(_, attempt)| Action::Cancel { request: id, attempt });
-        actions.extend(out);
+        actions.extend(r.out.filter(|_| may).map(|(_, attempt)| Action::Cancel { request: id, attempt }));
     }
 
     // ---- The four rules, per send ----
@@ -821,9 +834,8 @@
         if !w.ready() || !self.may_try_again(r, now) {
             return false;
         }
-        let first = r.ran.map(|(worker, _)| worker).or(r.out.map(|(worker, _)| worker));
         if let Effect::Keyed { scope, .. } = self.settings.classes[r.class].effect
-            && let Some(first) = first
+            && let Some(first) = r.ran.map(|ran| ran.0).or(r.out.map(|out| out.0))
         {
             let (f, w) = (&self.worker(first).entry, &w.entry);
             if scope == Scope::Zone && f.zone != w.zone || scope == Scope::Cell && f.cell != w.cell {
@@ -870,7 +882,7 @@
         let w = self.worker(id);
         let rules = &self.settings.rules;
         let all = f64::from(self.settings.balancers);
-        let carried = all * self.mean_size / self.gap.max(1.0) * w.entry.rating / self.ratings.max(1e-9);
+        let carried = all * self.mean_size / self.gap.max(1.0) * self.size(w) / self.ratings.max(1e-9);
         let capacity = carried * self.warmth(w, now);
         let chance = if self.set.contains(&id) { self.per_weight * self.weight(id, now) } else { 1.0 };
         let holders = (all * chance.min(1.0)).max(1.0);
@@ -924,9 +936,11 @@
                 let longest = a.wanted.saturating_sub(now) as f64;
                 w.wait[a.class] = (w.wait_now(a.class, now, 0.0).max(longest), now);
                 // It may turn away one class alone: that class stays away, longer where this cost the job.
-                let longer = if lossy { LOSSY_TRIALS } else { 0 };
                 if let Some(f) = w.full.get_mut(a.class) {
-                    *f = ((f.0 + 1).min(R_MAX), now + (TRIAL_PAUSE << (f.0 + 1 + longer)));
+                    *f = (
+                        (f.0 + 1).min(R_MAX),
+                        now + (TRIAL_PAUSE << (f.0 + 1 + LOSSY_TRIALS * u32::from(lossy))),
+                    );
                 }
                 self.set_stale = true;
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,6 +45,7 @@
         tells_start: true,
         progress: 0,
         tick: MS,
+        live_weights: false,
         report: ReportFields::default(),
     }
 }
--- /dev/null
+++ b/tests/untold.rs
@@ -0,0 +1,431 @@
+//! Workers that tell neither starts nor progress, jobs without keys, load reports in answers, ratings that fall with what
+//! a worker holds: three dispatchers and twelve workers on a simulated clock.
+
+mod common;
+use common::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use stepusher::*;
+
+const NODES: usize = 3;
+const WORKERS: usize = 12;
+const SLOTS: usize = 3;
+/// Load reports and ratings are of so long ago at least, and renewed so often.
+const LATE: Micros = 300 * MS;
+const RENEWED: Micros = 700 * MS;
+/// Safe and short, safe and long, must not run twice: mean size, aim, stretch, patience and share of the requests.
+const KINDS: [(f64, Micros, f64, Micros, f64); 3] = [
+    (320e3, 150 * MS, 2.0, 5 * S, 0.37),
+    (1_900e3, S, 2.0, 25 * S, 0.32),
+    (160e3, 150 * MS, 1.5, 5 * S, 0.31),
+];
+const ONCE: usize = 2;
+const COLD: Micros = 20 * S;
+
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrival,
+    /// A job at a worker, in one of its lives.
+    Done(usize, u32, usize, RequestId, u32),
+    Refused(usize, usize, RequestId, u32),
+    GivenUp(usize, RequestId),
+    Timer(usize, u64),
+    Renew,
+}
+
+struct Job {
+    class: usize,
+    size: f64,
+    born: Micros,
+    /// Each attempt: where and when.
+    sent: Vec<(usize, Micros)>,
+    /// Attempts that may have run.
+    ran: u32,
+    over: bool,
+}
+
+#[derive(Default)]
+struct Box {
+    life: u32,
+    dead: bool,
+    born: Micros,
+    busy: Vec<(usize, RequestId)>,
+    queue: VecDeque<(usize, RequestId, u32)>,
+    /// What it held at each renewal.
+    held: VecDeque<(Micros, usize)>,
+    /// What it was sent while cold.
+    pressure: Vec<(Micros, f64)>,
+}
+
+struct World {
+    nodes: Vec<Desk>,
+    boxes: Vec<Box>,
+    jobs: BTreeMap<(usize, RequestId), Job>,
+    due: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    rng: fastrand::Rng,
+    number: u64,
+    gap: f64,
+    /// The list reaches no one.
+    silent: bool,
+    most_held: usize,
+    /// Each job that was served: its class, when it came, and whether it was in time.
+    served: Vec<(usize, Micros, bool)>,
+}
+
+/// How fast a worker of each kind is.
+const SPEEDS: [f64; 2] = [1.4, 0.9];
+
+fn warmth(now: Micros, born: Micros) -> f64 {
+    if born == 0 { 1.0 } else { (0.15 + 0.85 * (now - born) as f64 / COLD as f64).min(1.0) }
+}
+
+impl World {
+    /// So many times what all workers can do is asked for.
+    fn new(load: f64, seed: u64) -> World {
+        let mean: f64 = KINDS.iter().map(|k| k.0 * k.4).sum();
+        let class = |k: &(f64, Micros, f64, Micros, f64), effect| Class {
+            effect,
+            aim: k.1,
+            stretch: k.2,
+            deadline: k.3,
+            worth: 1.0,
+            late_worth: 0.3,
+            kind: None,
+        };
+        let classes = vec![
+            class(&KINDS[0], Effect::Safe),
+            class(&KINDS[1], Effect::Safe),
+            class(&KINDS[ONCE], Effect::Unsafe),
+        ];
+        let node = |me: usize| {
+            let rules = RuleFigures { cold_from: 0.15, cold: COLD, fall: S, ..settings().rules };
+            let settings = Settings {
+                me: me as u32,
+                balancers: NODES as u32,
+                classes: classes.clone(),
+                rules,
+                tells_start: false,
+                marks_retry: false,
+                live_weights: true,
+                limits: Limits { cancel: false, ..settings().limits },
+                report: ReportFields { util: Some(1), free_slots: Some(0) },
+                ..settings()
+            };
+            Desk { dispatcher: Dispatcher::new(settings, seed + me as u64), next: 0 }
+        };
+        let mut world = World {
+            nodes: (0..NODES).map(node).collect(),
+            boxes: (0..WORKERS).map(|_| Box::default()).collect(),
+            jobs: BTreeMap::new(),
+            due: BinaryHeap::new(),
+            rng: fastrand::Rng::with_seed(seed),
+            number: 0,
+            gap: mean / (load * (WORKERS * SLOTS) as f64 * SPEEDS.iter().sum::<f64>() / 2.0),
+            silent: false,
+            most_held: 0,
+            served: Vec::new(),
+        };
+        for node in 0..NODES {
+            let list = (0..WORKERS).map(|n| world.entry(0, n)).collect();
+            world.tell(0, node, Event::Members(Members::Cached(list)));
+        }
+        world.at(0, Due::Arrival);
+        world.at(0, Due::Renew);
+        world
+    }
+
+    fn entry(&self, now: Micros, n: usize) -> Entry {
+        let w = &self.boxes[n];
+        let held = w.held.iter().rev().find(|h| now - h.0 >= LATE).map_or(0, |h| h.1);
+        let rating = SLOTS as f64 / (1.0 + held as f64 / SLOTS as f64);
+        let lifecycle = if w.dead { Lifecycle::Gone } else { Lifecycle::Ready };
+        Entry { lifecycle, born: w.born, rating, kind: n % 2, cell: 0, ..entry(n as u32) }
+    }
+
+    fn at(&mut self, when: Micros, due: Due) {
+        self.number += 1;
+        self.due.push(Reverse((when, self.number, due)));
+    }
+
+    fn tell(&mut self, now: Micros, node: usize, event: Event) {
+        for action in self.nodes[node].tell(now, event) {
+            match action {
+                Action::Send { request, worker, .. } => self.sent(now, node, request, worker.0 as usize),
+                Action::Timer { delay, token } => self.at(now + delay, Due::Timer(node, token)),
+                Action::Refuse { request, .. } | Action::Fail { request } => {
+                    let job = self.jobs.get_mut(&(node, request)).expect("a request");
+                    assert!(!job.over, "answered twice");
+                    job.over = true;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn sent(&mut self, now: Micros, node: usize, request: RequestId, n: usize) {
+        let job = self.jobs.get_mut(&(node, request)).expect("a request");
+        let attempt = job.sent.len() as u32;
+        assert!(!job.over && attempt < 3, "a send too many");
+        assert!(job.class != ONCE || job.ran == 0, "it may have run, and was sent again");
+        job.sent.push((n, now));
+        let size = job.size;
+        let w = &mut self.boxes[n];
+        if w.dead {
+            return self.at(now + 150 * MS, Due::Refused(n, node, request, attempt));
+        }
+        if warmth(now, w.born) < 1.0 {
+            w.pressure.push((now, size));
+        }
+        w.queue.push_back((node, request, attempt));
+        self.most_held = self.most_held.max(w.queue.len() + w.busy.len());
+        self.start(now, n);
+    }
+
+    fn start(&mut self, now: Micros, n: usize) {
+        let w = &mut self.boxes[n];
+        while w.busy.len() < SLOTS
+            && let Some((node, request, attempt)) = w.queue.pop_front()
+        {
+            w.busy.push((node, request));
+            let run = self.jobs[&(node, request)].size / warmth(now, w.born) / SPEEDS[n % 2];
+            let done = Due::Done(n, w.life, node, request, attempt);
+            self.number += 1;
+            self.due.push(Reverse((now + run as Micros, self.number, done)));
+        }
+    }
+
+    fn end(
+        &mut self,
+        now: Micros,
+        n: usize,
+        (node, request, attempt): (usize, RequestId, u32),
+        outcome: Outcome,
+    ) {
+        let free = self.boxes[n].held.iter().rev().find(|h| now - h.0 >= LATE);
+        let free = SLOTS.saturating_sub(free.map_or(0, |h| h.1)) as f64;
+        let job = self.jobs.get_mut(&(node, request)).expect("a request");
+        let took = now - job.sent[attempt as usize].1;
+        job.ran += u32::from(outcome != Outcome::ConnectFailed);
+        job.over |= outcome == Outcome::Ok;
+        let aim = KINDS[job.class].1 + (KINDS[job.class].2 * job.size) as Micros;
+        if outcome == Outcome::Ok {
+            self.served.push((job.class, job.born, now - job.born <= aim));
+        }
+        // Answers carry a report; what does not read is the host's to drop, what is odd but reads is the module's.
+        let report = match self.rng.u8(0..20) {
+            0 => vec![f64::NAN, 0.5],
+            1 => vec![1e300],
+            2 => vec![-4.0, f64::INFINITY],
+            3 => Vec::new(),
+            _ => vec![free, 0.5],
+        };
+        let report = if free == 0.0 || outcome == Outcome::Ok { report } else { Vec::new() };
+        let (closed, worker) = (job.over, WorkerId(n as u32));
+        self.tell(now, node, Event::Outcome { request, attempt, worker, outcome, took, closed, report });
+    }
+
+    fn arrive(&mut self, now: Micros) {
+        let node = self.rng.usize(..NODES);
+        let draw = self.rng.f64();
+        let class = if draw < KINDS[0].4 { 0 } else { usize::from(draw >= KINDS[0].4 + KINDS[1].4) + 1 };
+        let size = (-KINDS[class].0 * (1.0 - self.rng.f64()).ln()).clamp(20e3, 5.0 * KINDS[class].0);
+        let hint = Some((size * (0.6 + 0.9 * self.rng.f64())) as Micros);
+        let request = RequestId(self.nodes[node].next);
+        self.nodes[node].next += 1;
+        let due = now + KINDS[class].3;
+        let job = Job { class, size, born: now, sent: Vec::new(), ran: 0, over: false };
+        self.jobs.insert((node, request), job);
+        self.at(due, Due::GivenUp(node, request));
+        let (width, resent, key, sendable) = (1.0, false, 0, true);
+        let arrival = Arrival { request, class, due, hint, width, resent, key, sendable };
+        self.tell(now, node, Event::Arrival(arrival));
+    }
+
+    fn run(&mut self, until: Micros) {
+        while self.due.peek().is_some_and(|d| d.0.0 < until) {
+            let Some(Reverse((now, _, due))) = self.due.pop() else { return };
+            match due {
+                Due::Arrival => {
+                    self.arrive(now);
+                    let gap = -self.gap * (1.0 - self.rng.f64()).ln();
+                    self.at(now + gap as Micros + 1, Due::Arrival);
+                }
+                Due::Done(n, life, node, request, attempt) if self.boxes[n].life == life => {
+                    self.boxes[n].busy.retain(|b| *b != (node, request));
+                    if !self.jobs[&(node, request)].over {
+                        self.end(now, n, (node, request, attempt), Outcome::Ok);
+                    }
+                    self.start(now, n);
+                }
+                Due::Done(..) => {}
+                Due::Refused(n, node, request, attempt) => {
+                    if !self.jobs[&(node, request)].over {
+                        self.end(now, n, (node, request, attempt), Outcome::ConnectFailed);
+                    }
+                }
+                Due::GivenUp(node, request) => {
+                    let job = &self.jobs[&(node, request)];
+                    if let (false, Some(&(n, _))) = (job.over, job.sent.last()) {
+                        let attempt = job.sent.len() as u32 - 1;
+                        self.end(now, n, (node, request, attempt), Outcome::Timeout);
+                    }
+                    self.tell(now, node, Event::Lapsed(request));
+                    let job = self.jobs.get_mut(&(node, request)).expect("a request");
+                    assert!(job.over || job.sent.is_empty() || job.ran > 0, "no answer in time");
+                    job.over = true;
+                }
+                Due::Timer(node, token) => self.tell(now, node, Event::Timer(token)),
+                Due::Renew => {
+                    for w in &mut self.boxes {
+                        w.held.push_back((now, w.busy.len() + w.queue.len()));
+                    }
+                    self.list(now);
+                    self.at(now + RENEWED, Due::Renew);
+                }
+            }
+        }
+    }
+
+    fn list(&mut self, now: Micros) {
+        for node in 0..if self.silent { 0 } else { NODES } {
+            let list = (0..WORKERS).map(|n| self.entry(now, n)).collect();
+            self.tell(now, node, Event::Members(Members::Delta(list)));
+        }
+    }
+
+    /// Workers die at once, with all that they had.
+    fn die(&mut self, now: Micros, boxes: std::ops::Range<usize>) {
+        for n in boxes {
+            let w = &mut self.boxes[n];
+            w.life += 1;
+            w.dead = true;
+            let mut lost: Vec<_> = w.busy.drain(..).collect();
+            lost.extend(w.queue.drain(..).map(|q| (q.0, q.1)));
+            for (node, request) in lost {
+                let job = &self.jobs[&(node, request)];
+                let attempt = job.sent.len() as u32 - 1;
+                if !job.over {
+                    self.end(now, n, (node, request, attempt), Outcome::Reset);
+                }
+            }
+        }
+    }
+
+    fn back(&mut self, now: Micros, boxes: std::ops::Range<usize>) {
+        for n in boxes {
+            (self.boxes[n].dead, self.boxes[n].born) = (false, now);
+        }
+    }
+
+    /// The most that a cold worker was sent within a second, as a share of that at which it falls: N + 3 x root of N + 3
+    /// jobs of mean work, where N are three times those that it can do in that time.
+    fn pushed(&self) -> f64 {
+        let mean: f64 = KINDS.iter().map(|k| k.0 * k.4).sum();
+        let share = |w: &Box, from: Micros| {
+            let within = w.pressure.iter().filter(|p| (from..from + S).contains(&p.0));
+            let n = 3.0 * SLOTS as f64 * warmth(from, w.born) * 1e6 / mean;
+            within.map(|p| p.1).sum::<f64>() / mean / (n + 3.0 * n.sqrt() + 3.0)
+        };
+        let most = |w: &Box| w.pressure.iter().map(|p| share(w, p.0)).fold(0.0, f64::max);
+        self.boxes.iter().map(most).fold(0.0, f64::max)
+    }
+
+    /// The share of each class that came between these times and was served within its aim.
+    fn in_time(&self, from: Micros, to: Micros) -> [f64; 3] {
+        let within = |at: Micros| (from..to).contains(&at);
+        [0, 1, 2].map(|class| {
+            let asked = self.jobs.values().filter(|j| j.class == class && within(j.born)).count();
+            let got = self.served.iter().filter(|s| s.0 == class && within(s.1) && s.2).count();
+            got as f64 / asked as f64
+        })
+    }
+}
+
+/// A dispatcher that begins a queue where it can't see one fills every worker with all that it has: then all are late.
+#[test]
+fn what_waits_for_a_worker_that_tells_no_start_waits_at_its_dispatcher() {
+    let mut world = World::new(1.15, 5);
+    world.run(45 * S);
+    let [short, long, once] = world.in_time(5 * S, 30 * S);
+    println!("in time {short:.2} {long:.2} {once:.2}, held at most {}", world.most_held);
+    assert!(world.most_held <= SLOTS + NODES, "a worker held {}", world.most_held);
+    assert!(short >= 0.4 && long >= 0.5 && once >= 0.4, "in time {short:.2} {long:.2} {once:.2}");
+    // Bigger jobs go to faster workers, also where nothing but answers tells how fast these are.
+    let mean = |kind: usize| {
+        let here = |j: &&Job| j.class == 1 && j.sent.first().is_some_and(|s| s.0 % 2 == kind);
+        let sizes: Vec<f64> = world.jobs.values().filter(here).map(|j| j.size).collect();
+        sizes.iter().sum::<f64>() / sizes.len() as f64
+    };
+    println!("mean size at fast ones {:.0}, at slow ones {:.0}", mean(0), mean(1));
+}
+
+/// A quarter of the workers die at once with all that they hold, and come back cold 8 s later.
+#[test]
+fn a_quarter_that_dies_and_comes_back_cold_is_not_overrun_and_nothing_runs_twice() {
+    let mut world = World::new(0.7, 6);
+    world.run(10 * S);
+    world.die(10 * S, 0..3);
+    world.run(18 * S);
+    world.back(18 * S, 0..3);
+    world.run(50 * S);
+    let ([short, long, once], pushed) = (world.in_time(11 * S, 35 * S), world.pushed());
+    println!("in time {short:.2} {long:.2} {once:.2}, pushed {pushed:.2}");
+    assert!(pushed > 0.1 && pushed < 1.0, "a cold worker was sent {pushed:.2} of what it falls at");
+    assert!(short >= 0.6 && long >= 0.7 && once >= 0.6, "in time {short:.2} {long:.2} {once:.2}");
+}
+
+/// Discovery is out from the start and for 25 s: three of the workers that the old list names are dead, three more die,
+/// and all come back before anyone is told.
+#[test]
+fn work_goes_on_while_discovery_is_out_for_half_of_the_day() {
+    let mut world = World::new(0.5, 7);
+    (world.silent, world.boxes[0].dead, world.boxes[1].dead, world.boxes[2].dead) = (true, true, true, true);
+    world.run(6 * S);
+    world.die(6 * S, 3..6);
+    world.run(15 * S);
+    world.back(15 * S, 0..6);
+    world.run(25 * S);
+    world.silent = false;
+    world.run(50 * S);
+    let [short, long, once] = world.in_time(0, 25 * S);
+    println!("in time {short:.2} {long:.2} {once:.2}");
+    assert!(short >= 0.5 && long >= 0.6 && once >= 0.5, "in time {short:.2} {long:.2} {once:.2}");
+    let later = world.in_time(27 * S, 40 * S);
+    assert!(later.iter().all(|share| *share >= 0.8), "{later:?} once the list is back");
+}
+
+/// Every rating falls to a fifth at once, but that of a worker that has just started and holds nothing. It is no larger
+/// than it was for that, and is sent no more.
+#[test]
+fn ratings_that_fall_with_the_load_do_not_make_an_idle_cold_worker_large() {
+    let sent_to_cold = |loaded: f64| {
+        let rules = RuleFigures { cold_from: 0.15, cold: COLD, fall: S, ..settings().rules };
+        let settings = Settings { live_weights: true, rules, ..settings() };
+        let mut desk = Desk { dispatcher: Dispatcher::new(settings, 3), next: 0 };
+        let of = |n: u32, rating: f64| Entry { rating, ..entry(n) };
+        desk.tell(0, Event::Members(Members::Full((0..6).map(|n| of(n, 3.0)).collect())));
+        let mut now = S;
+        for _ in 0..40 {
+            desk.serve(now, 200 * MS, |_| 1.0);
+            now += 300 * MS;
+        }
+        let mut list: Vec<Entry> = (1..6).map(|n| of(n, 3.0 / loaded)).collect();
+        list.push(Entry { born: now, ..of(0, 3.0) });
+        desk.tell(now, Event::Members(Members::Delta(list)));
+        // The warm ones say nothing any more, and are soon full: only its budget holds the cold one back.
+        let mut sent = 0;
+        for n in 0..200 {
+            let (request, actions) = desk.arrive(now + n * 4 * MS, 1, 50 * MS);
+            if sends(&actions).iter().any(|s| s.1 == WorkerId(0)) {
+                sent += 1;
+                let (attempt, worker) = (0, WorkerId(0));
+                desk.tell(now + n * 4 * MS + MS, Event::Started { request, attempt, worker });
+                desk.end(now + n * 4 * MS + 2 * MS, request, (worker, attempt), Outcome::Ok);
+            }
+        }
+        sent
+    };
+    let sent = [sent_to_cold(5.0), sent_to_cold(1.0)];
+    println!("{sent:?}");
+    assert!(sent[1] > 0 && sent[0] <= sent[1], "{sent:?}");
+}
