Read over: an execution's order travels whole, lengths of time are converted in one place

No behaviour changes. begin and write take the Order they are part of; a request's send takes two times by name instead of a pair; the conversion from the module's microseconds stood in five places. Tests: the engine's share one configured engine and one order, crossings has one writer of a request, untold's world one way to queue what falls due.

--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -6,6 +6,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use stepusher::Micros;
 
+/// A length of time as the sockets' timers take it; one below 0 is none.
+pub fn length(time: Micros) -> Duration {
+    Duration::from_micros(time.max(0) as u64)
+}
+
 /// One clock for deadlines on sockets and for the module.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -32,6 +37,6 @@
 
     /// The same point in time for the sockets' timers.
     pub fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(at.saturating_sub(self.unix).max(0) as u64)
+        self.start + length(at.saturating_sub(self.unix))
     }
 }
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -1,6 +1,6 @@
 //! The parts of one node put together, without a front.
 
-use crate::clock::Clock;
+use crate::clock::{Clock, length};
 use crate::counters::Counters;
 use crate::desk::Desk;
 use crate::host_group::{self, Backoff, HostGroup, Source, Watch};
@@ -52,10 +52,9 @@
     /// files, if anywhere.
     pub fn new(config: &Config, disk: Option<Arc<dyn Disk>>) -> Rc<Engine> {
         let (ask, probes) = async_channel::unbounded();
-        let micros = |t: i64| Duration::from_micros(t.max(0) as u64);
         let connect_limit = match config.settings.limits.connect_timeout {
             0 => CONNECT_LIMIT,
-            t => micros(t),
+            t => length(t),
         };
         let classes = config.classes.iter().map(|c| c.name.clone());
         let (tasks, counters) = (Rc::<Tasks>::default(), Rc::new(Counters::new(classes)));
@@ -63,7 +62,7 @@
         let descriptors = Descriptors::new(config.sockets);
         let ways = Rc::new(Ways {
             host_group: HostGroup::new(config.names.clone()),
-            links: Links::new(descriptors, micros(config.keepalive), counters.clone()),
+            links: Links::new(descriptors, length(config.keepalive), counters.clone()),
             tasks: tasks.clone(),
             counters: counters.clone(),
             loads: Fields::new(config.load_fields.clone()),
--- a/engine/src/execution.rs
+++ b/engine/src/execution.rs
@@ -149,23 +149,24 @@
     order: &Order,
     passed_on: impl Fn(),
 ) -> Result<ServerLink, Ending> {
-    let Order { worker, deadline, before, ref fate, .. } = *order;
+    let Order { worker, before, .. } = *order;
     let up_by = before.min(Instant::now() + ways.connect_limit);
     let up = by(up_by, ways.link(worker)).await;
     let (address, mut link) = up.ok_or_else(|| order.late(Ending::ConnectLate))??;
     if !ways.host_group.takes(worker) {
         return Err(Ending::Leaving);
     }
-    let unsent = match fate.over.get() {
-        true => Some(Ending::Concluded),
-        false => order.window_over().then_some(Ending::WindowOver),
+    let unsent = if order.fate.over.get() {
+        Some(Ending::Concluded)
+    } else {
+        order.window_over().then_some(Ending::WindowOver)
     };
     if let Some(ending) = unsent {
         ways.links.put(worker, link);
         return Err(ending);
     }
     let host = address.to_string();
-    by(before, write(ways, parcel, &host, deadline, &mut link.link, fate, passed_on))
+    by(before, write(ways, parcel, &host, order, &mut link.link, passed_on))
         .await
         .ok_or_else(|| order.late(Ending::LateUnwritten))??;
     Ok(link)
@@ -177,17 +178,16 @@
     ways: &Ways,
     parcel: &Parcel,
     host: &str,
-    deadline: Instant,
+    order: &Order,
     link: &mut Link,
-    fate: &Fate,
     passed_on: impl Fn(),
 ) -> Result<(), Ending> {
     let mut body = parcel.body.reader();
     let length = parcel.body.length();
-    let mut out = parcel.head(host, deadline, length);
+    let mut out = parcel.head(host, order.deadline, length);
     let (mut piece, mut passing, mut more) = (Vec::new(), false, true);
     while more {
-        if fate.over.get() {
+        if order.fate.over.get() {
             return Err(Ending::Concluded);
         }
         more = match length {
@@ -211,7 +211,7 @@
             passed_on();
         }
         if !out.is_empty() && link.write(&out).await.is_err() {
-            return Err(early(link, deadline).await);
+            return Err(early(link, order.deadline).await);
         }
         if out.len() >= BLOCK {
             // Large bodies must not keep small jobs waiting.
--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -1,5 +1,6 @@
 //! The host group: discovery's list of executors, and the watch on it.
 
+use crate::clock::length;
 use crate::counters::Counters;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -73,13 +74,13 @@
     /// the list `ask_within` ago counts as told, four times as long after a call that failed: half of that may be spent
     /// on a pause, the rest is for the call.
     pub fn new(seed: u64, grace: Micros, ask_within: Micros) -> Backoff {
-        let grace = Duration::from_micros(grace.max(0) as u64).clamp(GRACES[0], GRACES[1]);
-        let longest = Duration::from_micros(ask_within.max(0) as u64).saturating_mul(2);
-        let longest = longest.clamp(PAUSES[0], PAUSES[1]);
+        let grace = length(grace).clamp(GRACES[0], GRACES[1]);
+        let longest = length(ask_within).saturating_mul(2).clamp(PAUSES[0], PAUSES[1]);
         Backoff { rng: fastrand::Rng::with_seed(seed), most: PAUSES[0], longest, grace }
     }
 
-    /// The next pause, 16 s at most, and less where the settings want the list sooner; longer where discovery refused to answer.
+    /// The next pause, 16 s at most, and less where the settings want the list sooner; longer where discovery refused to
+    /// answer.
     pub fn pause(&mut self, refused: bool) -> Duration {
         if refused {
             self.most = self.most.max(REFUSED).min(self.longest);
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -45,7 +45,7 @@
 mod tests;
 mod ways;
 
-pub use clock::Clock;
+pub use clock::{Clock, length};
 pub use counters::{ClassCounters, Count, Counters, End};
 pub use desk::Desk;
 pub use ending::Ending;
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -121,7 +121,7 @@
                 Mail::Send { worker, deadline, before } => {
                     let attempt = attempts;
                     attempts += 1;
-                    self.send(&parcel, attempt, worker, (deadline.min(due), before));
+                    self.send(&parcel, attempt, worker, deadline.min(due), before);
                 }
                 Mail::Cancel { attempt } => self.ended(attempt, Ending::Withdrawn, Vec::new()),
                 Mail::Refuse { retry_after } => self.answer(Answer::Throttled { retry_after }),
@@ -163,12 +163,19 @@
         }
     }
 
-    /// Begins an execution, which waits `until` the first of two times and is not sent any more from the second. One that
-    /// comes after the answer is never sent.
-    fn send(&mut self, parcel: &Rc<Parcel>, attempt: u32, worker: WorkerId, until: (Micros, Micros)) {
+    /// Begins an execution, which waits until `deadline` and is not sent any more from `before` on. One that comes after
+    /// the answer is never sent.
+    fn send(
+        &mut self,
+        parcel: &Rc<Parcel>,
+        attempt: u32,
+        worker: WorkerId,
+        deadline: Micros,
+        before: Micros,
+    ) {
         let Requests { desk, ways, counters, tasks, .. } = &*self.requests;
         counters.sent.add();
-        let (deadline, before) = (desk.clock.instant(until.0), desk.clock.instant(until.1.min(until.0)));
+        let (deadline, before) = (desk.clock.instant(deadline), desk.clock.instant(before.min(deadline)));
         let order = Order { attempt, worker, deadline, before, fate: self.fate.clone() };
         let task = if self.fate.over.get() {
             let _ = self.mail.try_send(Mail::Ended { attempt, ending: Ending::Concluded, load: Vec::new() });
--- a/engine/src/tests/load.rs
+++ b/engine/src/tests/load.rs
@@ -1,16 +1,13 @@
 //! Load reports at the two places where answers hold them, whole and in pieces, absent and malformed.
 
 use super::shared;
-use crate::Engine;
 use crate::ending::Ending;
-use crate::execution::{self, Order};
+use crate::execution;
 use crate::job::Mail;
-use sorrelhaven_config::Config;
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-use stepusher::WorkerId;
+use std::time::Duration;
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
 
@@ -42,10 +39,9 @@
         r#""balancers":1"#,
         r#""balancers":1,"report":{"how":"answers","fields":["x0","cpu_share"]}"#,
     );
-    let engine = Engine::new(&Config::parse(&text, |_| None).expect("a configuration"), None);
+    let engine = shared::configured(&text);
     let parcel = Rc::new(shared::parcel(&engine, "/api", b"body"));
-    let deadline = Instant::now() + Duration::from_secs(9);
-    let order = Order { attempt: 0, worker: WorkerId(0), deadline, before: deadline, fate: Rc::default() };
+    let order = shared::order(Duration::from_secs(9));
     let (mail, inbox) = async_channel::unbounded();
     shared::run(&engine, execution::run(engine.ways.clone(), parcel, order, mail));
     executor.join().expect("the executor");
--- a/engine/src/tests/server_link.rs
+++ b/engine/src/tests/server_link.rs
@@ -1,6 +1,6 @@
 //! The server link as a model: what an executor does, and how the execution must end.
 
-use super::shared;
+use super::shared::{self, order};
 use crate::Engine;
 use crate::ending::Ending;
 use crate::execution::{self, Order};
@@ -144,12 +144,6 @@
     Rc::new(shared::parcel(engine, "/api?x=1", b"body"))
 }
 
-/// A first execution at the one executor, which waits for so long.
-fn order(wait: Duration) -> Order {
-    let deadline = Instant::now() + wait;
-    Order { attempt: 0, worker: WorkerId(0), deadline, before: deadline, fate: Rc::default() }
-}
-
 /// Runs one execution against `address` and gives how it ended, and how many links stand idle after.
 fn execute(address: std::net::SocketAddr, wait: Duration) -> (Ending, bool) {
     let engine = shared::engine(address);
--- a/engine/src/tests/shared.rs
+++ b/engine/src/tests/shared.rs
@@ -1,16 +1,29 @@
 //! What the tests of the engine share: one in this thread.
 
+use crate::execution::Order;
 use crate::{Engine, Parcel};
 use futures_lite::future::or;
 use sorrelhaven_bodies::End;
 use sorrelhaven_config::Config;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
+use stepusher::WorkerId;
 
 /// An engine that knows one executor, `s-1` at `dial`.
 pub fn engine(dial: SocketAddr) -> Rc<Engine> {
-    let text = sorrelhaven_standins::one_box(dial, "at_most_once");
-    Engine::new(&Config::parse(&text, |_| None).expect("a configuration"), None)
+    configured(&sorrelhaven_standins::one_box(dial, "at_most_once"))
+}
+
+/// An engine with this configuration.
+pub fn configured(text: &str) -> Rc<Engine> {
+    Engine::new(&Config::parse(text, |_| None).expect("a configuration"), None)
+}
+
+/// A first execution at the one executor, which waits for so long.
+pub fn order(wait: Duration) -> Order {
+    let deadline = Instant::now() + wait;
+    Order { attempt: 0, worker: WorkerId(0), deadline, before: deadline, fate: Rc::default() }
 }
 
 /// Runs the engine's tasks until `work` is done.
--- a/engine/src/tests/watch.rs
+++ b/engine/src/tests/watch.rs
@@ -3,7 +3,6 @@
 use super::shared;
 use crate::Engine;
 use crate::host_group::Backoff;
-use sorrelhaven_config::Config;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -206,8 +205,7 @@
     let text = sorrelhaven_standins::one_box("127.0.0.1:1".parse().expect("an address"), "at_most_once");
     let text = text.replace(r#""seed":"1f""#, &format!(r#""seed":"{:x}""#, seed.expect("there is one")));
     let text = text.replace(r#""balancers":1"#, r#""balancers":1,"discovery":"subscribe""#);
-    let engine = Engine::new(&Config::parse(&text, |_| None).expect("a configuration"), None);
-    let engine = watched_by(engine, |agent| {
+    let engine = watched_by(shared::configured(&text), |agent| {
         let next = || agent.accept().expect("the node comes").0;
         let mut refused = next();
         target(&mut refused);
--- a/front/http1/src/front.rs
+++ b/front/http1/src/front.rs
@@ -4,7 +4,7 @@
 use event_listener::Event;
 use futures_lite::future::or;
 use sorrelhaven_config::{ClassName, Config};
-use sorrelhaven_engine::{Count, Engine, Links};
+use sorrelhaven_engine::{Count, Engine, Links, length};
 use sorrelhaven_lifecycle::{Lifecycle, Standing};
 use sorrelhaven_wire::by;
 use std::cell::Cell;
@@ -68,7 +68,7 @@
             link_freed: Event::new(),
             leave: Event::new(),
             standing,
-            longest: Duration::from_micros(longest.max(0) as u64),
+            longest: length(longest),
         })
     }
 
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -48,12 +48,17 @@
 
 /// A client that has sent its request, all of it.
 fn asked(node: &Program, id: &str, class: &str, patience: u64) -> TcpStream {
+    let mut stream = TcpStream::connect(&node.address).expect("it listens");
+    ask_on(&mut stream, id, class, patience).expect("it reads");
+    stream
+}
+
+/// Sends a request on an open link, all of it.
+fn ask_on(stream: &mut TcpStream, id: &str, class: &str, patience: u64) -> std::io::Result<()> {
     let mut ask = Ask::new(id, class, b"body".to_vec());
     ask.patience = Duration::from_millis(patience);
-    let mut stream = TcpStream::connect(&node.address).expect("it listens");
     stream.set_read_timeout(Some(BOUND)).expect("a socket");
-    stream.write_all((ask.head() + "body").as_bytes()).expect("it reads");
-    stream
+    stream.write_all((ask.head() + "body").as_bytes())
 }
 
 /// Waits until one of the node's counters has come to this.
@@ -382,11 +387,7 @@
     let (_, mut link) = first(&executor);
     link.write_all(done("one").as_bytes()).expect("the node reads");
     assert_eq!(Reply::read(&mut client, Instant::now()).expect("an answer").status, 200);
-    let ask = |stream: &mut TcpStream, id: &str| {
-        let ask = Ask::new(id, "once", b"body".to_vec());
-        stream.set_read_timeout(Some(BOUND)).expect("a socket");
-        stream.write_all((ask.head() + "body").as_bytes())
-    };
+    let ask = |stream: &mut TcpStream, id: &str| ask_on(stream, id, "once", 5_000);
     ask(&mut resting, "two").expect("it reads");
     assert!(next(&mut link).expect("the kept link carries it").contains("Request-Id: two\r\n"));
     link.write_all(done("two").as_bytes()).expect("the node reads");
--- a/tests/untold.rs
+++ b/tests/untold.rs
@@ -185,15 +185,14 @@
     }
 
     fn start(&mut self, now: Micros, n: usize) {
-        let w = &mut self.boxes[n];
-        while w.busy.len() < SLOTS
-            && let Some((node, request, attempt)) = w.queue.pop_front()
+        while self.boxes[n].busy.len() < SLOTS
+            && let Some((node, request, attempt)) = self.boxes[n].queue.pop_front()
         {
+            let w = &mut self.boxes[n];
             w.busy.push((node, request));
             let run = self.jobs[&(node, request)].size / warmth(now, w.born) / SPEEDS[n % 2];
             let done = Due::Done(n, w.life, node, request, attempt);
-            self.number += 1;
-            self.due.push(Reverse((now + run as Micros, self.number, done)));
+            self.at(now + run as Micros, done);
         }
     }
 
@@ -290,7 +289,10 @@
     }
 
     fn list(&mut self, now: Micros) {
-        for node in 0..if self.silent { 0 } else { NODES } {
+        if self.silent {
+            return;
+        }
+        for node in 0..NODES {
             let list = (0..WORKERS).map(|n| self.entry(now, n)).collect();
             self.tell(now, node, Event::Members(Members::Delta(list)));
         }
