Membership: an unanswered probe goes out once more, and a clock set back outlives its ghost

Losses: at a fifth lost both ways a direct probe goes unanswered in 36% of cases, and the way through three others is four datagrams long (41% each), so 7% of probes ended in a suspicion; each is gossiped and refuted, which was most of the traffic. Where foca asks others (Timer::SendIndirectProbe with something to send: not answered yet) the ping itself now goes out again (membership/src/state.rs, tick).

Clock: a node that starts with an earlier life than its ghost's was declared dead by all that hold the ghost, and its next life was one more; a ghost years ahead was never passed.

The example runs its worlds side by side. Ruled out: shrinking a suspicion by what gossip carries, as it does not tell who suspects (docs/membership.md).

--- a/membership/examples/table.rs
+++ b/membership/examples/table.rs
@@ -99,17 +99,22 @@
     );
     println!("| --- | --- | --- | --- | --- |");
     for count in std::env::args().skip(1).filter_map(|a| a.parse().ok()) {
-        let times = detection(count);
-        let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
-        let known = format!("{}, {}, {}", at(0.5), at(0.99), at(1.0));
-        plotted.push((count, times.clone()));
-        for (faults, loss, pauses) in [
+        let faults = [
             ("none", 0.0, false),
             ("5% lost", 0.05, false),
             ("20% lost", 0.2, false),
             ("pauses of 0.9 s", 0.0, true),
-        ] {
-            let (dead, hours, bytes) = steady(count, loss, pauses);
+        ];
+        // Each run is a world of its own, so they may go on at once.
+        let (times, rows) = std::thread::scope(|scope| {
+            let times = scope.spawn(move || detection(count));
+            let rows = faults.map(|(_, loss, pauses)| scope.spawn(move || steady(count, loss, pauses)));
+            (times.join().expect("it runs"), rows.map(|row| row.join().expect("it runs")))
+        });
+        let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+        let known = format!("{}, {}, {}", at(0.5), at(0.99), at(1.0));
+        plotted.push((count, times.clone()));
+        for ((faults, ..), (dead, hours, bytes)) in faults.into_iter().zip(rows) {
             println!("| {count} | {known} | {faults} | {dead} in {hours:.1} | {bytes:.0} |");
         }
     }
--- a/membership/src/state.rs
+++ b/membership/src/state.rs
@@ -24,6 +24,10 @@
 const SEED_PERIODS: Micros = 4;
 /// Copies of its going that a member hands out.
 const FAREWELLS: usize = 3;
+/// Probe periods within which being declared dead again tells of a ghost with a later life, not of bad luck.
+const GHOST_PERIODS: Micros = 20;
+/// The furthest that a life leaps beyond a ghost's, so that numbers never run out.
+const LEAP_MOST: u64 = 1 << 60;
 
 /// How a member behaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -197,6 +201,9 @@
     table: BTreeMap<SocketAddr, Row>,
     health: u32,
     recover_at: Micros,
+    ping: Option<(SocketAddr, Vec<u8>)>,
+    leap: u64,
+    ghost_until: Micros,
     out: Vec<(SocketAddr, Vec<u8>)>,
     figures: Figures,
     gone: bool,
@@ -232,6 +239,9 @@
             table: BTreeMap::new(),
             health: 0,
             recover_at: now,
+            ping: None,
+            leap: 1,
+            ghost_until: now,
             out: Vec::new(),
             figures: Figures::default(),
             gone: false,
@@ -272,7 +282,16 @@
                 }
                 let probe = matches!(timer, Timer::ProbeRandomMember(_));
                 self.figures.probes += u64::from(probe && self.foca.num_members() > 0);
-                self.protocol(now, |foca, wanted| foca.handle_timer(timer, wanted));
+                // Where it is not answered in time a probe goes out once more beside those through others: at a fifth
+                // lost, one in three goes unanswered for no fault of the one that is probed.
+                let again =
+                    matches!(timer, Timer::SendIndirectProbe { .. }).then(|| self.ping.take()).flatten();
+                self.protocol(now, |foca, wanted| {
+                    foca.handle_timer(timer, &mut *wanted)?;
+                    let unanswered = !wanted.sends.is_empty();
+                    wanted.sends.extend(again.filter(|_| unanswered));
+                    Ok(())
+                });
             }
             if now >= self.table_at {
                 self.follow(now);
@@ -373,11 +392,33 @@
     ) {
         let mut wanted = Wanted::default();
         self.figures.senseless += u64::from(event(&mut self.foca, &mut wanted).is_err());
+        if wanted.declared_dead > 0 {
+            self.outlive(now, &mut wanted);
+        }
         self.take(now, wanted);
     }
 
+    /// Declared dead again so soon, this member meets a ghost of its own whose life is later than its clock, which was
+    /// set back, gave it. Twice as far each time, its lives pass any ghost's in some tens of steps.
+    fn outlive(&mut self, now: Micros, wanted: &mut Wanted) {
+        self.leap = if now < self.ghost_until { (2 * self.leap).min(LEAP_MOST) } else { 1 };
+        self.ghost_until = now + GHOST_PERIODS * micros(self.settings.probe_period);
+        let id = self.foca.identity().clone();
+        if self.leap > 1 {
+            let later = Id { life: id.life.saturating_add(self.leap), ..id };
+            self.figures.senseless += u64::from(self.foca.change_identity(later, wanted).is_err());
+        }
+    }
+
     fn take(&mut self, now: Micros, wanted: Wanted) {
         self.figures.declared_dead += wanted.declared_dead;
+        let probed = wanted.timers.iter().find_map(|(timer, _)| match timer {
+            Timer::SendIndirectProbe { probed_id, .. } => Some(probed_id.address),
+            _ => None,
+        });
+        if let Some(address) = probed {
+            self.ping = wanted.sends.iter().find(|send| send.0 == address).cloned();
+        }
         for (to, message) in wanted.sends {
             let datagram = self.seal.seal(&message);
             self.figures.sent += 1;
--- a/membership/tests/cases.rs
+++ b/membership/tests/cases.rs
@@ -53,7 +53,10 @@
         });
         world.run(world.now + 120 * S);
         assert_eq!(world.sum(|f| f.declared_dead), 0, "one way: {one_way}");
-        println!("one way {one_way}: {} suspicions", world.sum(|f| f.suspicions));
+        // A probe that goes out once more is answered more often than not: without it there are 85 and 15.
+        let (suspicions, most) = (world.sum(|f| f.suspicions), if one_way { 10 } else { 60 });
+        println!("one way {one_way}: {suspicions} suspicions");
+        assert!(suspicions < most, "{suspicions} suspicions");
     }
 }
 
@@ -111,6 +114,27 @@
     }
 }
 
+/// Its clock was set back by years: its ghost's life is later than its own, by far more than it could count up to.
+#[test]
+fn a_restart_with_a_clock_set_back_outlives_its_ghost() {
+    for ghost_is_dead in [false, true] {
+        let mut world = World::new(5, 10);
+        world.until(10 * S, World::whole);
+        world.restart(4, 1 << 51);
+        world.until(world.now + 10 * S, World::whole);
+        world.kill(4);
+        world.run(world.now + if ghost_is_dead { 10 * S } else { 200 * MS });
+        world.restart(4, 2_000);
+        let at = world.now;
+        let whole = world.until(at + 30 * S, World::whole) - at;
+        println!("ghost dead {ghost_is_dead}: one of them after {} ms", whole / MS);
+        assert!(world.members[4].id().life > 1 << 51);
+        world.run(world.now + 20 * S);
+        assert!(world.whole(), "and it stays");
+        assert!((0..4).all(|n| world.members[n].figures().declared_dead == 0));
+    }
+}
+
 #[test]
 fn one_that_leaves_is_told_from_one_that_died() {
     let mut world = World::new(20, 9);
