--- a/node/tests/many.rs
+++ b/node/tests/many.rs
@@ -1,6 +1,6 @@
 //! A node among a thousand, with a thousand executors in its list, within the least memory and descriptors.
 
-use sorrelhaven_standins::{Ask, Boxes, Program, Scratch};
+use sorrelhaven_standins::{Ask, Boxes, Program, Refusing, Scratch};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
@@ -136,3 +136,58 @@
     let named = log.lines().filter(|l| l.contains("hosts[700].health") && l.contains("asleep")).count();
     assert_eq!(named, 1, "{log}");
 }
+
+/// A node starts with a list of which four in five are gone, and discovery says nothing yet: each request has an answer at
+/// once, served or refused unrun, until the node has learned who is there; then all are served. The true list ends it.
+#[test]
+fn a_known_list_that_is_mostly_gone_is_answered_from_and_put_right() {
+    let boxes = Boxes::new(4);
+    let agent = TcpListener::bind("127.0.0.1:0").expect("a port");
+    // Ports that are held and not listened at refuse every link, and nobody else can have them meanwhile.
+    let gone: Vec<_> = (0..16).map(|_| Refusing::new().expect("a port")).collect();
+    let live = boxes.addresses.iter().copied();
+    let known: Vec<SocketAddr> = gone.iter().map(|g| g.address).chain(live).collect();
+    let entry = |(n, dial): (usize, &SocketAddr)| {
+        format!(r#"{{"host":"s-{n}","dial":"{dial}","health":"in_service"}}"#)
+    };
+    let hosts: Vec<String> = known.iter().enumerate().map(entry).collect();
+    let config = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"1f","known":{},
+            "settings":{{"balancers":1,"ceilings":{{"maxAttempts":3,"dialTimeout":250000}},"invariants":{{}},
+                "familyInfo":{{"tellsStart":true}},
+                "grades":[{{"name":"fee","aim":300000,"deadline":5000000,"effect":"at_most_once"}}]}}}}"#,
+        agent.local_addr().expect("its address"),
+        list(1, true, &hosts)
+    );
+    let scratch = Scratch::new("stale");
+    let command = Command::new(env!("CARGO_BIN_EXE_sorrelhaven"));
+    let mut node = Program::start(command, &scratch.write("node.json", &config), None);
+    let mut watch = opened(&agent);
+    let served = |from: usize, to: usize| {
+        let statuses = (from..to).map(|n| {
+            let ask = Ask::new(&format!("q-{n}"), "fee", b"body".to_vec());
+            let reply = ask.send(&node.address).expect("an answer");
+            assert!([200, 503].contains(&reply.status), "{n}: {}", reply.status);
+            // What is refused never ran.
+            assert_eq!(boxes.runs_of(&ask.id).len(), usize::from(reply.status == 200), "{n}");
+            assert!(reply.took.as_millis() < 1_000, "{n}: {:?}", reply.took);
+            reply.status == 200
+        });
+        statuses.filter(|served| *served).count()
+    };
+    let (learning, learned) = (served(0, 30), served(30, 60));
+    let failed = node.figure("connect_failed");
+    println!("{learning} of the first 30 served, {learned} of the next, {failed} links refused");
+    assert!(learning >= 15 && learned == 30, "{learning} of the first 30 served, {learned} of the next");
+    assert!((1..=64).contains(&failed), "{failed} links refused");
+    say(&mut watch, &(list(2, true, &hosts[16..]) + "\n"));
+    node.line("hosts=4");
+    let served = (60..90)
+        .filter(|n| {
+            let ask = Ask::new(&format!("q-{n}"), "fee", b"body".to_vec());
+            ask.send(&node.address).expect("an answer").status == 200
+        })
+        .count();
+    assert_eq!((served, node.figure("connect_failed")), (30, failed), "nothing goes to those that are gone");
+    node.end();
+}
--- a/standins/src/held.rs
+++ b/standins/src/held.rs
@@ -1,5 +1,6 @@
-//! A listener at which connections come up only once the test says so.
+//! Places at which connections come up only once the test says so, or never.
 
+use rustix::fd::OwnedFd;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -42,3 +43,24 @@
         Ok(self.listener)
     }
 }
+
+/// A port that is taken and at which nobody listens: whoever connects is refused, and nobody else gets it meanwhile.
+pub struct Refusing {
+    _socket: OwnedFd,
+    /// Where nobody listens.
+    pub address: SocketAddr,
+}
+
+impl Refusing {
+    /// A port that refuses all.
+    ///
+    /// # Errors
+    /// Those of the sockets.
+    pub fn new() -> io::Result<Refusing> {
+        use rustix::net::{AddressFamily, SocketType, bind, getsockname, socket};
+        let socket = socket(AddressFamily::INET, SocketType::STREAM, None)?;
+        bind(&socket, &SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let address = SocketAddr::try_from(getsockname(&socket)?)?;
+        Ok(Refusing { _socket: socket, address })
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -17,6 +17,6 @@
 pub use checker::{Checker, ONCE};
 pub use client::{Ask, Reply};
 pub use disk::{Conduct, StandInDisk};
-pub use held::Held;
+pub use held::{Held, Refusing};
 pub use program::{Program, Scratch};
 pub use settings::{boxes_file, one_box};
--- a/tests/mix.rs
+++ b/tests/mix.rs
@@ -4,7 +4,7 @@
 mod common;
 use common::*;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use stepusher::*;
 
 const NODES: usize = 100;
@@ -45,6 +45,10 @@
     busy: usize,
     waiting: Vec<(Job, Micros)>,
     keys: VecDeque<u64>,
+    /// It takes jobs and says nothing.
+    silent: bool,
+    /// Jobs that it began.
+    begun: u32,
 }
 
 struct World {
@@ -52,6 +56,8 @@
     workers: Vec<Worker>,
     due: BinaryHeap<Reverse<(Micros, u64, Due)>>,
     open: BTreeMap<(usize, RequestId), Job>,
+    /// Charges that were sent: they may have run.
+    charged: BTreeSet<(usize, u32, RequestId)>,
     rng: fastrand::Rng,
     number: u64,
     gap: Micros,
@@ -104,6 +110,7 @@
             workers: (0..WORKERS).map(|_| Worker::default()).collect(),
             due: BinaryHeap::new(),
             open: BTreeMap::new(),
+            charged: BTreeSet::new(),
             rng: fastrand::Rng::with_seed(11),
             number: 0,
             gap,
@@ -125,6 +132,8 @@
             match action {
                 Action::Send { request, worker, .. } => {
                     let job = self.open[&(node, request)];
+                    let first = job.class != CHARGE || self.charged.insert((node, life, request));
+                    assert!(first, "{request:?} of node {node} may have run, and was sent again");
                     self.workers[worker.0 as usize].waiting.push((job, now));
                     self.at(job.born + LIMIT, Due::Late(worker.0, job));
                     self.start(now, worker.0);
@@ -137,13 +146,14 @@
 
     /// A worker fills its free slots: the heavy class first, within a class in order.
     fn start(&mut self, now: Micros, n: u32) {
-        while self.workers[n as usize].busy < SLOTS {
+        while self.workers[n as usize].busy < SLOTS && !self.workers[n as usize].silent {
             let w = &mut self.workers[n as usize];
             let Some(i) = (0..w.waiting.len()).min_by_key(|&i| (Reverse(w.waiting[i].0.class), i)) else {
                 return;
             };
             let (job, sent) = w.waiting.remove(i);
             w.busy += 1;
+            w.begun += 1;
             let kept = w.keys.iter().position(|&k| k == job.key);
             let fetch = if kept.is_some() { 0 } else { FETCH };
             kept.map(|i| w.keys.remove(i));
@@ -298,3 +308,35 @@
     assert!(charges >= 0.4, "{charges:.2} of the charges' worth");
     assert!(heavy >= 0.75, "{heavy:.2} of the heavy jobs' worth");
 }
+
+/// The workers of a third of the places take jobs for 6 s and say nothing, are gone, and come back cold. The rest serves
+/// on, and those that are back have work again within 4 s, cold as they are.
+#[test]
+fn a_third_that_falls_silent_and_comes_back_cold_is_used_again_soon() {
+    let third = WORKERS / 3;
+    let mut world = World::new(3_600, 0.3);
+    world.run(8 * S);
+    for n in 0..third {
+        world.workers[n as usize].silent = true;
+    }
+    world.run(14 * S);
+    // Those that ended take what they held with them; all nodes are told at once.
+    for n in 0..third {
+        let at = n as usize;
+        world.workers[at] = Worker { born: 14 * S, ..Worker::default() };
+        world.due.retain(|due| !matches!(&due.0.2, Due::Done(of, ..) if *of == n));
+        for node in 0..NODES {
+            let list = vec![Entry { born: 14 * S, ..of(n) }];
+            world.tell(14 * S, node, Event::Members(Members::Delta(list)));
+        }
+    }
+    world.run(18 * S);
+    let used = (0..third).filter(|&n| world.workers[n as usize].begun > 0).count();
+    world.run(40 * S);
+    let served = |from, to| [CHARGE, HEAVY].map(|class| world.served(class, from, to));
+    let (silent, after) = (served(9 * S, 14 * S), served(18 * S, 30 * S));
+    println!("{silent:.2?} while a third is silent, {after:.2?} after, {used} of {third} used within 4 s");
+    assert!(used == third as usize, "{used} of {third} have work again");
+    assert!(silent.iter().all(|s| *s >= 0.4), "{silent:?} while a third is silent");
+    assert!(after.iter().all(|s| *s >= 0.8), "{after:?} once it is back");
+}
