A list that trickles is asked for again 6 s after it began

Cause: the watch took each piece for a sign of life (engine/src/host_group.rs, one: SILENCE counted anew after Came::Part), so an agent that sends a byte now and then and never an end kept its node on the old list for ever, drains and all. An object that has begun now has to be whole in 6 s, after which what a node misses counts as told; blank lines, which begin nothing, count as before.

Ruled out: 3 s as for silence; a long list over a slow way may rightly take longer than a pause between two signs of life.

--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -21,6 +21,9 @@
 const LIST_MOST: usize = 4 * 1024 * 1024;
 /// A watch says something every 2 s; one that does not is taken to be broken.
 const SILENCE: Duration = Duration::from_secs(3);
+/// A list that has begun has to be whole in this time: one that trickles keeps from the node what it would tell, and what
+/// a node misses counts as told 6 s after the watch has broken.
+const WHOLE: Duration = Duration::from_secs(6);
 /// The longest pause before a broken watch is asked for again doubles from the first to the last.
 const PAUSES: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(16)];
 /// The least bound after a refusal: discovery is overrun, and each ask more holds up those that wait.
@@ -106,7 +109,7 @@
     Unreachable,
     /// No answer has begun.
     Unanswered,
-    /// It has spoken, and says nothing any more.
+    /// It has spoken, and says nothing any more, or no list that ends.
     Silent,
     Refused(u16),
     Unreadable(Fault),
@@ -273,9 +276,12 @@
         loop {
             let fetched = after.is_none();
             let Answered { mut link, mut lists } = answered;
+            let mut whole = None;
             loop {
-                let next =
-                    by(Instant::now() + SILENCE, lists.next(&mut link)).await.ok_or(WatchEnd::Silent)?;
+                let now = Instant::now();
+                whole = lists.inside().then(|| whole.unwrap_or(now + WHOLE));
+                let limit = whole.map_or(now + SILENCE, |whole| whole.min(now + SILENCE));
+                let next = by(limit, lists.next(&mut link)).await.ok_or(WatchEnd::Silent)?;
                 match next.map_err(WatchEnd::Unreadable)? {
                     // The fetched list is complete, and a watch goes on from it; a watch itself has no end.
                     Came::End if fetched && after.is_some() => break,
--- a/engine/src/tests/watch.rs
+++ b/engine/src/tests/watch.rs
@@ -248,3 +248,33 @@
     assert_eq!(engine.counters.lists.get(), 1);
     assert_eq!(counted(&engine), [2, 0], "the drain was never told whole");
 }
+
+/// A list that comes a byte at a time, and would take half a minute, tells nothing: it is asked for again after 6 s, and not
+/// before, as one that is merely slow must have its time.
+#[test]
+fn a_list_that_trickles_is_asked_for_again() {
+    let engine = watched(|agent| {
+        let mut torn = agent.accept().expect("the node comes").0;
+        assert_eq!(target(&mut torn), "/registry/instances?watch=1&after=1");
+        torn.write_all(OPEN).expect("the node reads");
+        let line = list(2, false, &host("s-1", 7).replace("in_service", "terminating"));
+        let (comes, came) = std::sync::mpsc::channel();
+        let again = std::thread::spawn(move || comes.send(agent.accept().expect("the node comes").0));
+        let begun = Instant::now();
+        let mut bytes = line.bytes();
+        let mut next = loop {
+            match came.recv_timeout(Duration::from_millis(500)) {
+                Ok(next) => break next,
+                Err(_) => {
+                    let byte = bytes.next().expect("the node comes long before the end") as char;
+                    torn.write_all(format!("1\r\n{byte}\r\n").as_bytes()).expect("the node reads");
+                }
+            }
+        };
+        let took = begun.elapsed();
+        assert!(took >= Duration::from_secs(6) && took < Duration::from_secs(9), "{took:?}");
+        assert_eq!(target(&mut next), "/registry/instances?watch=1&after=1");
+        again.join().expect("a thread").expect("it was awaited");
+    });
+    assert_eq!((engine.counters.lists.get(), counted(&engine)), (0, [1, 0]));
+}
--- a/wire/src/objects.rs
+++ b/wire/src/objects.rs
@@ -32,6 +32,11 @@
         Objects { body, input: Vec::new(), used: 0, cutter: Cutter::new(most) }
     }
 
+    /// Whether an object has begun and is not whole.
+    pub fn inside(&self) -> bool {
+        self.cutter.inside()
+    }
+
     /// What comes next; each piece that comes is told, so that a slow sender can be told from a silent one.
     ///
     /// # Errors
