--- a/src/rules.rs
+++ b/src/rules.rs
@@ -535,7 +535,7 @@
     fn others(&self, r: &Request, id: WorkerId, now: Micros) -> f64 {
         let w = self.worker(id);
         let beyond = 1.0 - self.kind(w).slots / f64::from(self.settings.balancers.max(1));
-        let per_core = self.size(w) / w.entry.rating.max(1e-6) - 1.0;
+        let per_core = (self.size(w) / w.entry.rating.max(1e-6) - 1.0).max(0.0);
         per_core * beyond.max(0.0) * self.mean_size / self.penalised(w, r.class, now)
     }
 
--- a/tests/untold.rs
+++ b/tests/untold.rs
@@ -482,3 +482,19 @@
     assert!(many <= 18, "{many}");
     assert!((18..=30).contains(&one), "{one}");
 }
+
+/// A rating of nothing at all is no promise to be idle: what is rated so gets no job while others are there.
+#[test]
+fn a_rating_of_nothing_draws_no_jobs() {
+    let mut to_none = 0;
+    for me in 0..48 {
+        let settings = Settings { me, balancers: 48, ..settings() };
+        let mut desk = Desk { dispatcher: Dispatcher::new(settings, 100 + u64::from(me)), next: 0 };
+        let list = (0..10).map(|n| Entry { rating: if n < 5 { 0.0 } else { 3.0 }, ..entry(n) }).collect();
+        desk.tell(0, Event::Members(Members::Full(list)));
+        let (_, actions) = desk.arrive(2 * MS, 0, 200 * MS);
+        to_none += u32::from(sends(&actions)[0].1.0 < 5);
+    }
+    println!("{to_none} of 48");
+    assert!(to_none <= 4, "{to_none} of 48");
+}
