Read over: widths in flight are summed in one place, tests draw arrivals and first jobs alike

Now Worker::out and Worker::ready, and in tests/common Desk::request and arrival. node/tests/many.rs asks through one closure in all three rounds, so the last one has its checks too.

The tests of ratings and of fresh dispatchers fail as before where their mend is taken out.

--- a/node/tests/many.rs
+++ b/node/tests/many.rs
@@ -163,10 +163,11 @@
     let command = Command::new(env!("CARGO_BIN_EXE_sorrelhaven"));
     let mut node = Program::start(command, &scratch.write("node.json", &config), None);
     let mut watch = opened(&agent);
+    let address = node.address.clone();
     let served = |from: usize, to: usize| {
         let statuses = (from..to).map(|n| {
             let ask = Ask::new(&format!("q-{n}"), "fee", b"body".to_vec());
-            let reply = ask.send(&node.address).expect("an answer");
+            let reply = ask.send(&address).expect("an answer");
             assert!([200, 503].contains(&reply.status), "{n}: {}", reply.status);
             // What is refused never ran.
             assert_eq!(boxes.runs_of(&ask.id).len(), usize::from(reply.status == 200), "{n}");
@@ -182,12 +183,10 @@
     assert!((1..=64).contains(&failed), "{failed} links refused");
     say(&mut watch, &(list(2, true, &hosts[16..]) + "\n"));
     node.line("hosts=4");
-    let served = (60..90)
-        .filter(|n| {
-            let ask = Ask::new(&format!("q-{n}"), "fee", b"body".to_vec());
-            ask.send(&node.address).expect("an answer").status == 200
-        })
-        .count();
-    assert_eq!((served, node.figure("connect_failed")), (30, failed), "nothing goes to those that are gone");
+    assert_eq!(
+        (served(60, 90), node.figure("connect_failed")),
+        (30, failed),
+        "nothing goes to those that are gone"
+    );
     node.end();
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -119,6 +119,14 @@
         self.unstarted().map(|a| (now - a.sent) as f64).fold(known, f64::max)
     }
 
+    fn ready(&self) -> bool {
+        self.entry.lifecycle == Lifecycle::Ready
+    }
+
+    fn out(&self) -> f64 {
+        self.in_flight.iter().map(|a| a.width).sum()
+    }
+
     fn fresh(&self, class: usize, now: Micros) -> f64 {
         (-((now - self.wait[class].1) as f64) / WAIT_HALF).exp2()
     }
@@ -249,12 +257,11 @@
     }
 
     fn regard(&self, id: WorkerId, now: Micros) -> Regard {
+        let mut classes = 0..self.settings.classes.len() - 1;
         match self.worker(id) {
-            w if w.entry.lifecycle != Lifecycle::Ready => Regard::Draining,
+            w if !w.ready() => Regard::Draining,
             w if !self.sound(id) || now < w.trial_at => Regard::Failed,
-            _ if (0..self.settings.classes.len() - 1).all(|class| !self.takes(id, class, now)) => {
-                Regard::Full
-            }
+            _ if classes.all(|class| !self.takes(id, class, now)) => Regard::Full,
             _ => Regard::Used,
         }
     }
@@ -283,7 +290,7 @@
             self.watch_failures = 0;
         }
         let all = (0..self.workers.len() as u32).map(WorkerId);
-        self.ready = all.filter(|&id| self.worker(id).entry.lifecycle == Lifecycle::Ready).collect();
+        self.ready = all.filter(|&id| self.worker(id).ready()).collect();
         let own = self.ready.iter().filter(|&&id| self.worker(id).entry.zone == self.settings.zone).count();
         self.ratings = self.ready.iter().map(|&id| self.size(self.worker(id))).sum();
         self.apart = (own as f64 / ZONE).max(1.0);
@@ -469,16 +476,15 @@
         let w = self.worker(id);
         let c = self.penalised(w, r.class, now);
         let slots = self.kind(w).slots;
-        let (mut cost, mut width) = (0.0, 0.0);
+        let mut cost = 0.0;
         for a in &w.in_flight {
             let done = a.started.map_or(0.0, |at| (now - at) as f64 * c);
             cost += a.width * (a.size - done).max(a.size * 0.1);
-            width += a.width;
         }
         let fetch = if r.key == 0 || w.keys.holds(r.key) { 0.0 } else { FETCH * self.mean_size };
         let run = r.size / c + fetch;
         let rest = cost / (c * slots) + run;
-        let fits = width + r.width <= slots;
+        let fits = w.out() + r.width <= slots;
         let least = w.wait_now(r.class, now, 0.0) + if fits { run } else { rest };
         (w.wait_now(r.class, now, self.usual(w, r.class, now)) + rest, least, fits)
     }
@@ -506,10 +512,9 @@
         let w = self.worker(id);
         if !self.settings.tells_start {
             // Where reports tell of free slots no queue is begun: this one keeps to what others leave.
-            let out: f64 = w.in_flight.iter().map(|a| a.width).sum();
             let share = self.kind(w).share.mean(1.0 / f64::from(self.settings.balancers.max(1)), PRIOR);
             let most = (self.kind(w).slots.max(self.size(w)) * share).max(1.0);
-            return now >= w.trial_at && (self.settings.report.free_slots.is_none() || out + 1.0 <= most);
+            return now >= w.trial_at && (self.settings.report.free_slots.is_none() || w.out() + 1.0 <= most);
         }
         let running: f64 = w.in_flight.iter().filter(|a| a.started.is_some()).map(|a| a.width).sum();
         now >= w.trial_at
@@ -523,7 +528,7 @@
         let Some(free) = free.filter(|f| (0.0..=1024.0).contains(*f)) else { return };
         let fair = 1.0 / f64::from(self.settings.balancers.max(1));
         let w = self.worker_mut(id);
-        let (kind, out) = (w.entry.kind, w.in_flight.iter().map(|a| a.width).sum::<f64>());
+        let (kind, out) = (w.entry.kind, w.out());
         let kind = &mut self.kinds[kind];
         kind.slots = kind.slots.max(free.round()).max(1.0);
         let left = if *free < 0.5 { fair } else { ((free + out) / kind.slots).min(1.0) };
@@ -706,11 +711,10 @@
     /// So long a job of this class has waited at a worker, for its start or in vain.
     fn note_wait(&mut self, now: Micros, id: WorkerId, class: usize, waited: f64) {
         let warm = self.warmth(self.worker(id), now) >= 1.0;
-        let w = self.worker_mut(id);
+        let w = &mut self.workers[id.0 as usize];
         let fresh = w.fresh(class, now);
         w.wait[class] = ((w.wait[class].0 * fresh + waited) / (1.0 + fresh), now);
-        let kind = w.entry.kind;
-        let usual = &mut self.kinds[kind].wait[class.min(3)];
+        let usual = &mut self.kinds[w.entry.kind].wait[class.min(3)];
         *usual += if warm { (waited - *usual) / USUAL_HISTORY } else { 0.0 };
     }
 
@@ -729,9 +733,7 @@
         let Some(r) = self.requests.get_mut(&id).filter(|_| last) else { return };
         let unseen = matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
         let never_ran = unseen || outcome == Outcome::Full && !self.settings.rules.full_may_have_run;
-        if !never_ran && r.ran.is_none() {
-            r.ran = Some((worker, now - took));
-        }
+        r.ran = r.ran.or((!never_ran).then_some((worker, now - took)));
         if matches!(outcome, Outcome::Moot | Outcome::Unusable) || now >= r.due {
             self.give_up(id, to);
         } else {
@@ -831,7 +833,7 @@
     /// Whether this send keeps the rules. The request may still have one attempt out, to be withdrawn first.
     fn may_send(&self, r: &Request, id: WorkerId, now: Micros) -> bool {
         let w = self.worker(id);
-        if w.entry.lifecycle != Lifecycle::Ready || !self.may_try_again(r, now) {
+        if !w.ready() || !self.may_try_again(r, now) {
             return false;
         }
         if let Effect::Keyed { scope, .. } = self.settings.classes[r.class].effect
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -63,6 +63,12 @@
     }
 }
 
+/// A first try without a key, whose body can be sent again.
+pub fn arrival(request: RequestId, class: usize, due: Micros, hint: Micros) -> Arrival {
+    let (hint, width) = (Some(hint), 1.0);
+    Arrival { request, class, due, hint, width, resent: false, key: 0, sendable: true }
+}
+
 /// A dispatcher with its host's side of the story.
 pub struct Desk {
     pub dispatcher: Dispatcher,
@@ -82,20 +88,15 @@
         actions
     }
 
-    pub fn arrive(&mut self, now: Micros, class: usize, hint: Micros) -> (RequestId, Vec<Action>) {
-        let request = RequestId(self.next);
+    /// The id of its next request.
+    pub fn request(&mut self) -> RequestId {
         self.next += 1;
-        let arrival = Arrival {
-            request,
-            class,
-            due: now + 5 * S,
-            hint: Some(hint),
-            width: 1.0,
-            resent: false,
-            key: 0,
-            sendable: true,
-        };
-        (request, self.tell(now, Event::Arrival(arrival)))
+        RequestId(self.next - 1)
+    }
+
+    pub fn arrive(&mut self, now: Micros, class: usize, hint: Micros) -> (RequestId, Vec<Action>) {
+        let request = self.request();
+        (request, self.tell(now, Event::Arrival(arrival(request, class, now + 5 * S, hint))))
     }
 
     pub fn end(
--- a/tests/mix.rs
+++ b/tests/mix.rs
@@ -178,14 +178,12 @@
         let size = ((-mean * (1.0 - self.rng.f64()).ln()).clamp(20.0, 4.0 * mean) * 1e3) as Micros;
         // Keys are asked for as unevenly as 1/rank.
         let key = (KEYS as f64).powf(self.rng.f64()) as u64;
-        let request = RequestId(self.nodes[node].0.next);
-        self.nodes[node].0.next += 1;
+        let request = self.nodes[node].0.request();
         let job = Job { node, life: self.nodes[node].1, request, class, size, key, born: now };
         self.open.insert((node, request), job);
         self.worth.entry((class, now / S)).or_default().0 += size as f64;
-        let (due, hint, width) = (now + LIMIT, Some(size), 1.0);
         let key = key.wrapping_mul(0x2545_f491_4f6c_dd1d);
-        let arrival = Arrival { request, class, due, hint, width, resent: false, key, sendable: true };
+        let arrival = Arrival { key, ..arrival(request, class, now + LIMIT, size) };
         self.tell(now, node, Event::Arrival(arrival));
     }
 
--- a/tests/untold.rs
+++ b/tests/untold.rs
@@ -231,16 +231,13 @@
         let draw = self.rng.f64();
         let class = if draw < KINDS[0].4 { 0 } else { usize::from(draw >= KINDS[0].4 + KINDS[1].4) + 1 };
         let size = (-KINDS[class].0 * (1.0 - self.rng.f64()).ln()).clamp(20e3, 5.0 * KINDS[class].0);
-        let hint = Some((size * (0.6 + 0.9 * self.rng.f64())) as Micros);
-        let request = RequestId(self.nodes[node].next);
-        self.nodes[node].next += 1;
+        let hint = (size * (0.6 + 0.9 * self.rng.f64())) as Micros;
+        let request = self.nodes[node].request();
         let due = now + KINDS[class].3;
         let job = Job { class, size, born: now, sent: Vec::new(), ran: 0, over: false };
         self.jobs.insert((node, request), job);
         self.at(due, Due::GivenUp(node, request));
-        let (width, resent, key, sendable) = (1.0, false, 0, true);
-        let arrival = Arrival { request, class, due, hint, width, resent, key, sendable };
-        self.tell(now, node, Event::Arrival(arrival));
+        self.tell(now, node, Event::Arrival(arrival(request, class, due, hint)));
     }
 
     fn run(&mut self, until: Micros) {
@@ -446,26 +443,35 @@
     assert!(short >= 0.85 && long >= 0.85 && once >= 0.85, "in time {short:.2} {long:.2} {once:.2}");
 }
 
-/// Where the first job of each of so many fresh dispatchers goes, which all have the same list.
-fn first_jobs(balancers: u32, list: &[Entry]) -> Vec<usize> {
-    let mut at = vec![0; list.len()];
+/// Where the first job of each of 48 fresh dispatchers goes, which all have the same lists.
+fn first_jobs(settings: &Settings, lists: &[&[Entry]]) -> Vec<usize> {
+    let mut at = vec![0; lists[0].len()];
     for me in 0..48 {
-        let settings = Settings { me, balancers, tells_start: false, live_weights: true, ..settings() };
+        let settings = Settings { me, ..settings.clone() };
         let mut desk = Desk { dispatcher: Dispatcher::new(settings, 100 + u64::from(me)), next: 0 };
-        let idle = list.iter().map(|e| Entry { rating: 3.0, ..e.clone() }).collect();
-        desk.tell(0, Event::Members(Members::Cached(idle)));
-        desk.tell(MS, Event::Members(Members::Delta(list.to_vec())));
+        for list in lists {
+            desk.tell(0, Event::Members(Members::Full(list.to_vec())));
+        }
         let (_, actions) = desk.arrive(2 * MS, 0, 200 * MS);
         at[sends(&actions)[0].1.0 as usize] += 1;
     }
     at
 }
 
+fn of_live_ratings(balancers: u32) -> Settings {
+    Settings { balancers, tells_start: false, live_weights: true, ..settings() }
+}
+
+/// Ten workers, the first five rated so, the others 3.
+fn rated(rating: f64) -> Vec<Entry> {
+    (0..10).map(|n| Entry { rating: if n < 5 { rating } else { 3.0 }, ..entry(n) }).collect()
+}
+
 /// All of a fleet start at once and know nothing: their first jobs must not all go to the first of the list.
 #[test]
 fn fresh_dispatchers_do_not_all_begin_at_one_worker() {
     let list: Vec<Entry> = (0..9).map(|n| Entry { rating: 3.0, ..entry(n) }).collect();
-    let at = first_jobs(48, &list);
+    let at = first_jobs(&of_live_ratings(48), &[&list]);
     println!("{at:?}");
     assert!(at.iter().all(|&n| n <= 16), "{at:?}");
 }
@@ -474,9 +480,9 @@
 /// looks at that for the two it draws; a dispatcher that has the slots to itself goes by what it sent.
 #[test]
 fn of_two_workers_drawn_a_small_part_goes_to_what_a_live_rating_says_is_busy() {
-    let list: Vec<Entry> =
-        (0..10).map(|n| Entry { rating: if n < 5 { 0.6 } else { 3.0 }, ..entry(n) }).collect();
-    let busy = |balancers| first_jobs(balancers, &list)[..5].iter().sum::<usize>();
+    let (idle, half) = (rated(3.0), rated(0.6));
+    let busy =
+        |balancers| first_jobs(&of_live_ratings(balancers), &[&idle, &half])[..5].iter().sum::<usize>();
     let (many, one) = (busy(48), busy(1));
     println!("of 48: {many} among 48 dispatchers, {one} where there is one");
     assert!(many <= 18, "{many}");
@@ -486,15 +492,8 @@
 /// A rating of nothing at all is no promise to be idle: what is rated so gets no job while others are there.
 #[test]
 fn a_rating_of_nothing_draws_no_jobs() {
-    let mut to_none = 0;
-    for me in 0..48 {
-        let settings = Settings { me, balancers: 48, ..settings() };
-        let mut desk = Desk { dispatcher: Dispatcher::new(settings, 100 + u64::from(me)), next: 0 };
-        let list = (0..10).map(|n| Entry { rating: if n < 5 { 0.0 } else { 3.0 }, ..entry(n) }).collect();
-        desk.tell(0, Event::Members(Members::Full(list)));
-        let (_, actions) = desk.arrive(2 * MS, 0, 200 * MS);
-        to_none += u32::from(sends(&actions)[0].1.0 < 5);
-    }
+    let settings = Settings { balancers: 48, ..settings() };
+    let to_none: usize = first_jobs(&settings, &[&rated(0.0)])[..5].iter().sum();
     println!("{to_none} of 48");
     assert!(to_none <= 4, "{to_none} of 48");
 }
