Read over: open answers are written and asks read in one place for all tests

node/tests/crossings.rs had written again what node/tests/many.rs and the engine's watch tests have: the head of an open answer, a piece of one, the reading of an ask. Now standins/src/open.rs serves all three, and the boxes. Assertions are the same.

--- a/engine/src/tests/watch.rs
+++ b/engine/src/tests/watch.rs
@@ -3,24 +3,13 @@
 use super::shared;
 use crate::Engine;
 use crate::host_group::Backoff;
+use sorrelhaven_standins::{OPEN, say, target};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use stepusher::WorkerId;
 
-/// Reads one request and gives its target.
-fn target(stream: &mut TcpStream) -> String {
-    let mut got = Vec::new();
-    while !got.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        assert_eq!(stream.read(&mut byte).expect("a request"), 1, "the node asks");
-        got.push(byte[0]);
-    }
-    let text = String::from_utf8(got).expect("text");
-    text.split(' ').nth(1).expect("a target").to_string()
-}
-
 fn list(seq: u64, whole: bool, hosts: &str) -> String {
     format!("{{\"seq\":{seq},\"whole\":{whole},\"hosts\":[{hosts}]}}\n")
 }
@@ -29,12 +18,6 @@
     format!(r#"{{"host":"{name}","dial":"127.0.0.1:{port}","health":"in_service"}}"#)
 }
 
-fn say(stream: &mut TcpStream, line: &str) {
-    stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).expect("the node reads");
-}
-
-const OPEN: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 /// Runs an engine that watches the agent that `script` plays, until the script is over.
 fn watched(script: impl FnOnce(TcpListener) + Send + 'static) -> Rc<Engine> {
     watched_by(shared::engine("127.0.0.1:1".parse().expect("an address")), script)
@@ -65,7 +48,7 @@
         // It goes on from the list in the configuration, and takes an odd entry for what it is.
         let mut stream = next();
         assert_eq!(target(&mut stream), "/registry/instances?watch=1&after=1");
-        stream.write_all(OPEN).expect("the node reads");
+        stream.write_all(OPEN.as_bytes()).expect("the node reads");
         let odd = r#"{"host":"s-odd","health":"in_service"}"#;
         say(&mut stream, &list(5, false, &format!("{odd},{}", host("s-2", 2))));
         say(&mut stream, "\n");
@@ -73,7 +56,7 @@
         // A watch that breaks goes on from what it had; after nonsense nothing it had can be trusted.
         let mut stream = next();
         assert_eq!(target(&mut stream), "/registry/instances?watch=1&after=5");
-        stream.write_all(OPEN).expect("the node reads");
+        stream.write_all(OPEN.as_bytes()).expect("the node reads");
         say(&mut stream, "{\"seq\":6,\n");
         say(&mut stream, "\n");
         let mut stream = next();
@@ -83,7 +66,7 @@
         stream.write_all(head.as_bytes()).expect("the node reads");
         assert_eq!(target(&mut stream), "/registry/instances?watch=1&after=7");
         // A watch that says nothing at all is given up as well.
-        stream.write_all(OPEN).expect("the node reads");
+        stream.write_all(OPEN.as_bytes()).expect("the node reads");
         let mut again = next();
         assert_eq!(target(&mut again), "/registry/instances?watch=1&after=7");
     });
@@ -112,7 +95,7 @@
     let engine = watched(|agent| {
         let mut stream = agent.accept().expect("the node comes").0;
         assert_eq!(target(&mut stream), "/registry/instances?watch=1&after=1");
-        stream.write_all(OPEN).expect("the node reads");
+        stream.write_all(OPEN.as_bytes()).expect("the node reads");
         let hosts: Vec<String> = (0..MANY).map(|n| host(&format!("s-{n}"), 1000 + n)).collect();
         // The whole list in pieces that end anywhere.
         for piece in indented(&list(2, true, &hosts.join(","))).as_bytes().chunks(700) {
@@ -144,7 +127,7 @@
         let next = || agent.accept().expect("the node comes").0;
         let mut stream = next();
         target(&mut stream);
-        stream.write_all(OPEN).expect("the node reads");
+        stream.write_all(OPEN.as_bytes()).expect("the node reads");
         // A state that no executor has: the old list stays in force.
         say(&mut stream, &indented(&list(2, true, &host("s-9", 9).replace("in_service", "odd"))));
         let mut stream = next();
@@ -173,7 +156,7 @@
             }
             assert!(begun.elapsed() < Duration::from_millis(2_900), "{:?}", begun.elapsed());
             let mut stream = asks.remove(answered);
-            stream.write_all(OPEN).expect("the node reads");
+            stream.write_all(OPEN.as_bytes()).expect("the node reads");
             say(&mut stream, &list(2, false, &host("s-2", 2)));
             // The others are given up.
             for mut ask in asks {
@@ -212,7 +195,7 @@
         refused.write_all(b"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n").expect("the node reads");
         let mut spoke = next();
         assert_eq!(target(&mut spoke), "/registry/instances?watch=1&after=1");
-        spoke.write_all(OPEN).expect("the node reads");
+        spoke.write_all(OPEN.as_bytes()).expect("the node reads");
         say(&mut spoke, &list(2, false, &host("s-2", 2)));
         let silent = Instant::now();
         assert_eq!(target(&mut next()), "/registry/instances?watch=1&after=2");
@@ -229,7 +212,7 @@
         let next = || agent.accept().expect("the node comes").0;
         let mut torn = next();
         assert_eq!(target(&mut torn), "/registry/instances?watch=1&after=1");
-        torn.write_all(OPEN).expect("the node reads");
+        torn.write_all(OPEN.as_bytes()).expect("the node reads");
         let line = list(2, false, &host("s-1", 7).replace("in_service", "terminating"));
         let half = &line[..line.len() / 2];
         torn.write_all(format!("{:x}\r\n{half}", line.len()).as_bytes()).expect("the node reads");
@@ -239,7 +222,7 @@
         assert!(silent.elapsed() < Duration::from_secs(5), "{:?}", silent.elapsed());
         // The rest of the old line comes now: nobody listens to that any more.
         let _ = torn.write_all(format!("{}\r\n", &line[line.len() / 2..]).as_bytes());
-        whole.write_all(OPEN).expect("the node reads");
+        whole.write_all(OPEN.as_bytes()).expect("the node reads");
         say(&mut whole, &list(3, false, &host("s-2", 2)));
         assert!(matches!(torn.read(&mut [0]), Ok(0) | Err(_)), "the old one was ended");
         drop(whole);
@@ -256,7 +239,7 @@
     let engine = watched(|agent| {
         let mut torn = agent.accept().expect("the node comes").0;
         assert_eq!(target(&mut torn), "/registry/instances?watch=1&after=1");
-        torn.write_all(OPEN).expect("the node reads");
+        torn.write_all(OPEN.as_bytes()).expect("the node reads");
         let line = list(2, false, &host("s-1", 7).replace("in_service", "terminating"));
         let (comes, came) = std::sync::mpsc::channel();
         let again = std::thread::spawn(move || comes.send(agent.accept().expect("the node comes").0));
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -1,7 +1,7 @@
 //! Moments at which two things cross, each forced: one side is held until the other was seen to have acted. The rows of
 //! `docs/endings.md` name these tests.
 
-use sorrelhaven_standins::{Ask, Held, Program, Reply, Scratch, reset};
+use sorrelhaven_standins::{Ask, Held, OPEN, Program, Reply, Scratch, piece, reset, say, target};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
@@ -140,30 +140,23 @@
     }
 }
 
-const OPEN: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 fn done(id: &str) -> String {
     let line = format!("{{\"id\":\"{id}\",\"state\":\"done\",\"result\":\"fine\"}}\n");
-    format!("{OPEN}{:x}\r\n{line}\r\n0\r\n\r\n", line.len())
+    format!("{OPEN}{}0\r\n\r\n", piece(&line))
 }
 
 /// The watch of a node, open.
 fn watch(agent: &TcpListener) -> TcpStream {
     let mut stream = accept(agent);
     stream.set_read_timeout(Some(BOUND)).expect("a socket");
-    let mut got = Vec::new();
-    while !got.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        stream.read_exact(&mut byte).expect("the node asks");
-        got.push(byte[0]);
-    }
+    target(&mut stream);
     stream.write_all(OPEN.as_bytes()).expect("the node reads");
     stream
 }
 
 fn tell(watch: &mut TcpStream, seq: u64, host: &str) {
     let list = format!("{{\"seq\":{seq},\"whole\":false,\"hosts\":[{host}]}}\n");
-    watch.write_all(format!("{:x}\r\n{list}\r\n", list.len()).as_bytes()).expect("the node reads");
+    say(watch, &list);
 }
 
 /// A link takes its time to come up, and the client leaves meanwhile: nothing is sent for it, also where attempts can't
@@ -266,7 +259,7 @@
     let mut early = asked(&node, "early", "once", 5_000);
     let (_, mut early_link) = first(&executor);
     let started = "{\"id\":\"early\",\"state\":\"started\"}\n";
-    let started = format!("{OPEN}{:x}\r\n{started}\r\n", started.len());
+    let started = format!("{OPEN}{}", piece(started));
     early_link.write_all(started.as_bytes()).expect("the node reads");
     let mut ask = Ask::new("late", "once", b"body".to_vec());
     ask.patience = Duration::from_secs(30);
--- a/node/tests/many.rs
+++ b/node/tests/many.rs
@@ -1,7 +1,7 @@
 //! A node among a thousand, with a thousand executors in its list, within the least memory and descriptors.
 
-use sorrelhaven_standins::{Ask, Boxes, Program, Refusing, Scratch};
-use std::io::{Read, Write};
+use sorrelhaven_standins::{Ask, Boxes, OPEN, Program, Refusing, Scratch, say, target};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
 use std::thread;
@@ -54,25 +54,14 @@
     )
 }
 
-const OPEN: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 /// Takes one ask of the node and opens the answer to it.
 fn opened(agent: &TcpListener) -> TcpStream {
     let mut stream = agent.accept().expect("the node asks").0;
-    let mut got = Vec::new();
-    while !got.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        stream.read_exact(&mut byte).expect("a request");
-        got.push(byte[0]);
-    }
-    stream.write_all(OPEN).expect("the node reads");
+    target(&mut stream);
+    stream.write_all(OPEN.as_bytes()).expect("the node reads");
     stream
 }
 
-fn say(stream: &mut TcpStream, text: &str) {
-    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).expect("the node reads");
-}
-
 /// What the system says of the process, by a key of its status.
 fn status(node: &Program, key: &str) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("it lives");
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -1,5 +1,6 @@
 //! Issuing boxes that follow a script, and log what they ran.
 
+use crate::open::{OPEN, piece};
 use std::collections::VecDeque;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -211,10 +212,10 @@
         if act == Act::Unusable {
             return stream.write_all(b"HTTP/1.1 400 What\r\nContent-Length: 0\r\n\r\n");
         }
-        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        stream.write_all(OPEN.as_bytes())?;
         let mut say = |news: &str| {
             let line = format!("{{\"id\":\"{id}\",\"from\":\"s\",{news}}}\n");
-            stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes())
+            stream.write_all(piece(&line).as_bytes())
         };
         say("\"state\":\"started\"")?;
         match act {
@@ -228,7 +229,7 @@
             }
             Act::OtherId => {
                 let line = "{\"id\":\"another\",\"from\":\"s\",\"state\":\"done\",\"result\":\"1\"}\n";
-                stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes())?;
+                stream.write_all(piece(line).as_bytes())?;
             }
             Act::Failed => say("\"state\":\"failed\"")?,
             Act::Lost => say("\"state\":\"lost\"")?,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod disk;
 mod held;
+mod open;
 mod program;
 mod settings;
 
@@ -18,5 +19,6 @@
 pub use client::{Ask, Reply};
 pub use disk::{Conduct, StandInDisk};
 pub use held::{Held, Refusing};
+pub use open::{OPEN, piece, say, target};
 pub use program::{Program, Scratch};
 pub use settings::{boxes_file, one_box};
