--- a/node/tests/command.rs
+++ b/node/tests/command.rs
@@ -32,6 +32,11 @@
         said.contains("bodies of at most 64 KiB, in memory 64 KiB each, 8 MiB in all, in no files"),
         "{said}"
     );
+    // The second deployment: three classes of other effects, no tenants, load reports, no start notes.
+    let output = sorrelhaven(&["check", "--operator", &operator, &deploy("registry.example.json")]);
+    let said = text(&output.stdout);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    assert!(said.starts_with("n0 listens on 127.0.0.1:8080; 3 classes, 0 tenants, 1 boxes known"), "{said}");
 }
 
 #[test]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -512,10 +512,12 @@
     fn room(&self, id: WorkerId, now: Micros) -> bool {
         let w = self.worker(id);
         if !self.settings.tells_start {
-            // Nothing tells of a queue, so none is begun: this one keeps to the slots that others leave.
+            // Where reports tell of free slots no queue is begun: this one keeps to what others leave.
             let out: f64 = w.in_flight.iter().map(|a| a.width).sum();
             let share = self.kind(w).share.mean(1.0 / f64::from(self.settings.balancers.max(1)), PRIOR);
-            return now >= w.trial_at && out + 1.0 <= (self.kind(w).slots.max(self.size(w)) * share).max(1.0);
+            let slots = self.kind(w).slots.max(self.size(w));
+            let fits = self.settings.report.free_slots.is_none() || out + 1.0 <= (slots * share).max(1.0);
+            return now >= w.trial_at && fits;
         }
         let running: f64 = w.in_flight.iter().filter(|a| a.started.is_some()).map(|a| a.width).sum();
         now >= w.trial_at
@@ -523,7 +525,7 @@
             && w.unstarted().all(|a| now - a.sent < START_GRACE)
     }
 
-    /// Takes a load report in, old as it is: how many slots there are, and which share of them others leave.
+    /// Takes a late report in: how many slots there are, and the share others leave, fair where none is free.
     fn on_report(&mut self, id: WorkerId, report: &[f64]) {
         let free = self.settings.report.free_slots.and_then(|i| report.get(i));
         let Some(free) = free.filter(|f| (0.0..=1024.0).contains(*f)) else { return };
@@ -532,7 +534,6 @@
         let (kind, out) = (w.entry.kind, w.in_flight.iter().map(|a| a.width).sum::<f64>());
         let kind = &mut self.kinds[kind];
         kind.slots = kind.slots.max(free.round()).max(1.0);
-        // Where none is free what is out may well wait: nothing says that others rest.
         let left = if *free < 0.5 { fair } else { ((free + out) / kind.slots).min(1.0) };
         kind.share.add(left, HISTORY / 2.0);
     }
@@ -544,8 +545,7 @@
         self.predicted(r, id, now).0 + price
     }
 
-    /// The homes of a key, the nearest first, alike at all dispatchers of a zone but for their number: what a
-    /// key needs is kept in as few places as its jobs fill, and seldom fetched.
+    /// A key's homes, nearest first, alike in a zone but for their number: as few places as its jobs fill.
     fn homes(&self, r: &Request, now: Micros) -> Vec<WorkerId> {
         let fit = |&w: &WorkerId| {
             self.sound(w) && self.takes(w, r.class, now) && self.may_send(r, w, now) && !r.tried.contains(&w)
