--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod disk;
 mod held;
 mod open;
+mod preload;
 mod program;
 mod settings;
 
@@ -20,5 +21,6 @@
 pub use disk::{Conduct, StandInDisk};
 pub use held::{Held, Refusing};
 pub use open::{OPEN, piece, say, target};
+pub use preload::{FaultPlan, injected};
 pub use program::{Program, Scratch};
 pub use settings::{boxes_file, one_box};
