--- a/engine/src/tests/mod.rs
+++ b/engine/src/tests/mod.rs
@@ -8,3 +8,4 @@
 mod server_link;
 mod shared;
 mod watch;
+mod written;
--- /dev/null
+++ b/engine/src/tests/written.rs
@@ -0,0 +1,33 @@
+//! What counts as sent: a request whose last byte was written may have run, whatever happens next in the node.
+
+use super::shared;
+use crate::ending::Ending;
+use crate::execution;
+use crate::job::Mail;
+use sorrelhaven_bodies::BLOCK;
+use std::io::Read;
+use std::net::TcpListener;
+use std::time::Duration;
+
+/// A large body waits for its turn behind other work after each block, the last one too. The time may be up, or the
+/// client gone, before that turn comes: the executor has the whole request all the same.
+#[test]
+fn a_whole_request_that_waits_for_its_turn_may_have_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let engine = shared::engine(listener.local_addr().expect("its address"));
+    let parcel = shared::parcel(&engine, "/api", &[b'x'; BLOCK]).into();
+    let executor = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the node");
+        let mut got = Vec::new();
+        stream.read_to_end(&mut got).expect("the node ends the connection");
+        got.iter().rev().take_while(|byte| **byte == b'x').count()
+    });
+    let (mail, inbox) = async_channel::unbounded();
+    // No other task runs, so the turn after the last block does not come within the deadline.
+    let order = shared::order(Duration::from_millis(300));
+    async_io::block_on(execution::run(engine.ways.clone(), parcel, order, mail));
+    let last = std::iter::from_fn(|| inbox.try_recv().ok()).last();
+    assert_eq!(executor.join().expect("the executor"), BLOCK, "the executor has all of it");
+    let Some(Mail::Ended { ending, .. }) = last else { panic!("no ending: {last:?}") };
+    assert_eq!(ending, Ending::Silent, "it may have run");
+}
