A request counts as sent from its last byte on, and client and clock are read at the write

Ruled out: chunked bodies, whose end goes out after the last wait. The same mistake elsewhere: a body's reader that fails after the last byte ended as Body(..), 'never sent', by the same loop; mended by the same line.

Also at the write: the head's Request-Timeout is made after the first piece of the body was waited for; a client whose connection has ended is seen by a poll of its socket right before each write, not only once its own task has run; with under 1 ms left nothing is sent (NoTimeLeft, no blame).

--- a/engine/src/execution.rs
+++ b/engine/src/execution.rs
@@ -7,6 +7,7 @@
 use crate::links::ServerLink;
 use crate::ways::Ways;
 use async_channel::Sender;
+use async_io::Timer;
 use futures_lite::future::yield_now;
 use serde::Deserialize;
 use serde_json::Value;
@@ -21,6 +22,13 @@
 /// After the last job line the end of the answer follows at once, or the link is not worth keeping.
 const ANSWER_END: Duration = Duration::from_secs(1);
 
+/// Nothing is sent for a client that waits for less than this: the request itself takes as long to get there, and an
+/// executor may drop one with so little time left without a word.
+const LEAST_LEFT: Duration = Duration::from_millis(1);
+
+/// How often an attempt whose client has gone looks whether that was told.
+const GONE_LOOK: Duration = Duration::from_millis(5);
+
 /// An answer that was written before the link broke has come by then.
 const EARLY: Duration = Duration::from_millis(50);
 /// A kept link that breaks within this of the request's last byte had gone before.
@@ -81,6 +89,22 @@
         self.before < self.deadline && Instant::now() >= self.before
     }
 
+    /// Why nothing may be sent at this moment, if that is so. A client whose connection has ended is told to the module
+    /// by whoever reads from it, which may have much to read before: until then the attempt waits.
+    async fn unsendable(&self) -> Option<Ending> {
+        while self.fate.client_gone() {
+            Timer::after(GONE_LOOK).await;
+        }
+        if self.fate.over.get() {
+            Some(Ending::Concluded)
+        } else if self.window_over() {
+            Some(Ending::WindowOver)
+        } else {
+            let left = self.deadline.saturating_duration_since(Instant::now());
+            (left < LEAST_LEFT).then_some(Ending::NoTimeLeft)
+        }
+    }
+
     /// How it ends that its time is up before its last byte was written.
     fn late(&self, ending: Ending) -> Ending {
         if self.window_over() { Ending::WindowOver } else { ending }
@@ -95,7 +119,7 @@
         let _ = mail.try_send(m);
     };
     let end = |ending: Ending| report(Mail::Ended { attempt, ending, load: Vec::new() });
-    let mut server_link = match begin(&ways, &parcel, &order, || report(Mail::PassedOn)).await {
+    let mut server_link = match begin(&ways, &parcel, &order, &mail).await {
         Ok(link) => link,
         Err(ending) => return end(ending),
     };
@@ -137,8 +161,7 @@
     }
 }
 
-/// Writes the request to a link, kept or new. Until its last byte is written it has never run. `passed_on` is called
-/// before the first byte of the body that is not kept goes out.
+/// Writes the request to a link, kept or new. Until its last byte is written it has never run.
 ///
 /// A link may take its time to come up. What has changed meanwhile counts: nothing is sent for a client that has left,
 /// also where attempts can't be called off, nothing to an executor that was told to leave, and no repeat once it would
@@ -147,7 +170,7 @@
     ways: &Ways,
     parcel: &Parcel,
     order: &Order,
-    passed_on: impl Fn(),
+    mail: &Sender<Mail>,
 ) -> Result<ServerLink, Ending> {
     let Order { worker, before, .. } = *order;
     let up_by = before.min(Instant::now() + ways.connect_limit);
@@ -156,63 +179,53 @@
     if !ways.host_group.takes(worker) {
         return Err(Ending::Leaving);
     }
-    let unsent = if order.fate.over.get() {
-        Some(Ending::Concluded)
-    } else {
-        order.window_over().then_some(Ending::WindowOver)
-    };
-    if let Some(ending) = unsent {
+    if let Some(ending) = order.unsendable().await {
         ways.links.put(worker, link);
         return Err(ending);
     }
     let host = address.to_string();
-    by(before, write(ways, parcel, &host, order, &mut link.link, passed_on))
+    by(before, write(ways, parcel, &host, order, &mut link.link, mail))
         .await
         .ok_or_else(|| order.late(Ending::LateUnwritten))??;
     Ok(link)
 }
 
 /// Writes the head, and the body as it is given out. A body that ends before its time leaves the message incomplete:
-/// the executor sees a broken request, never a whole one.
+/// the executor sees a broken request, never a whole one. The head tells how long the client waits, so it is made when
+/// the first piece of the body is there and nothing else is waited for.
 async fn write(
     ways: &Ways,
     parcel: &Parcel,
     host: &str,
     order: &Order,
     link: &mut Link,
-    passed_on: impl Fn(),
+    mail: &Sender<Mail>,
 ) -> Result<(), Ending> {
     let mut body = parcel.body.reader();
     let length = parcel.body.length();
-    let mut out = parcel.head(host, order.deadline, length);
-    let (mut piece, mut passing, mut more) = (Vec::new(), false, true);
+    let (mut piece, mut out, mut written) = (Vec::new(), Vec::new(), 0);
+    let (mut begun, mut passing, mut more) = (false, false, true);
     while more {
-        if order.fate.over.get() {
-            return Err(Ending::Concluded);
-        }
-        more = match length {
-            Some(_) => body.next(&mut out).await,
-            None => {
-                let more = body.next(&mut piece).await;
-                if !piece.is_empty() {
-                    out.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
-                    out.append(&mut piece);
-                    out.extend_from_slice(b"\r\n");
-                }
-                if more == Ok(false) {
-                    out.extend_from_slice(b"0\r\n\r\n");
-                }
-                more
-            }
+        more = body.next(&mut piece).await.map_err(Ending::Body)?;
+        if let Some(ending) = order.unsendable().await {
+            return Err(ending);
         }
-        .map_err(Ending::Body)?;
         if !passing && body.passing_on() {
             passing = true;
-            passed_on();
+            let _ = mail.try_send(Mail::PassedOn);
+        }
+        if !std::mem::replace(&mut begun, true) {
+            out = parcel.head(host, order.deadline, length);
         }
+        written += piece.len() as u64;
+        frame(&mut out, &mut piece, length, more);
         if !out.is_empty() && link.write(&out).await.is_err() {
             return Err(early(link, order.deadline).await);
         }
+        // Once the last byte is written the executor may run the request: nothing below may end the attempt as unsent.
+        if length == Some(written) {
+            return Ok(());
+        }
         if out.len() >= BLOCK {
             // Large bodies must not keep small jobs waiting.
             ways.tasks.turn().await;
@@ -222,6 +235,22 @@
     Ok(())
 }
 
+/// Moves a piece of a body to what is written: as it is where its length was told, else as a chunk.
+fn frame(out: &mut Vec<u8>, piece: &mut Vec<u8>, length: Option<u64>, more: bool) {
+    if length.is_some() {
+        out.append(piece);
+        return;
+    }
+    if !piece.is_empty() {
+        out.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        out.append(piece);
+        out.extend_from_slice(b"\r\n");
+    }
+    if !more {
+        out.extend_from_slice(b"0\r\n\r\n");
+    }
+}
+
 /// How an execution ended whose link broke before the last byte: an executor may turn a large request away by its head
 /// alone, and end the connection.
 async fn early(link: &mut Link, deadline: Instant) -> Ending {
--- a/lab/shim/src/calls.rs
+++ b/lab/shim/src/calls.rs
@@ -88,6 +88,7 @@
 intercept!(shutdown as "shutdown" (fd: c_int, how: c_int) -> c_int);
 intercept!(setsockopt as "setsockopt" (fd: c_int, level: c_int, name: c_int, value: *const c_void, size: socklen_t) -> c_int);
 intercept!(poll as "poll" (descriptors: *mut pollfd, count: nfds_t, timeout: c_int) -> c_int);
+intercept!(ppoll as "poll" (descriptors: *mut pollfd, count: nfds_t, timeout: *const timespec, mask: *const c_void) -> c_int);
 intercept!(epoll_ctl as "epoll_ctl" (fd: c_int, operation: c_int, other: c_int, event: *mut libc::epoll_event) -> c_int);
 intercept!(epoll_wait as "epoll_wait" (fd: c_int, events: *mut libc::epoll_event, count: c_int, timeout: c_int) -> c_int);
 intercept!(epoll_pwait as "epoll_wait" (fd: c_int, events: *mut libc::epoll_event, count: c_int, timeout: c_int, mask: *const c_void) -> c_int);
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -80,7 +80,7 @@
 /// Interrupted reads and writes are begun again: the connection and the request on it are as before.
 #[test]
 fn interrupted_reads_and_writes_cost_no_request() {
-    let plan = FaultPlan::calls("read:EINTR:10;recv:EINTR:10;send:EINTR:10;write:EINTR:10");
+    let plan = FaultPlan::calls("read:EINTR:10;recv:EINTR:10;send:EINTR:10;write:EINTR:10;poll:EINTR:10");
     let node = Node::healthy("interrupted", &plan);
     let (checker, unserved) = node.pay(400, Duration::ZERO);
     assert_eq!(unserved, [""; 0]);
