Starts of executors are dated without the wall clock; invariants are counted at run time

Seen: with the wall clock an hour ahead 68 of 160 requests went to the executor that had just started (3 with a right clock); an hour behind none, for an hour. Cause: Entry.born was compared with Unix time read once at the start (engine/src/clock.rs, host_group.rs). engine/src/births.rs now takes the least of three ages: the distance to the newest date of any list, the time since the list before for what is first seen as a change, and the wall clock's word where it is not negative.

engine/src/invariants.rs: seven invariants, each guarded in one place, counted by name for operators (node_invariant_violations) and in the line of counters, logged with the request's id; its tests break each. Attempts log how they end and requests how they are answered, by id.

--- a/engine/src/counters.rs
+++ b/engine/src/counters.rs
@@ -1,5 +1,6 @@
 //! What the node has taken in, sent and answered.
 
+use crate::invariants::Invariants;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 use stepusher::Outcome;
@@ -66,6 +67,8 @@
     pub lists: Count,
     /// Watches on the host group that broke or fell silent.
     pub watches_broken: Count,
+    /// What must hold, and how often it did not.
+    pub invariants: Invariants,
     outcomes: [Count; 9],
 }
 
@@ -180,6 +183,7 @@
             ("probes", self.probes.get()),
             ("lists", self.lists.get()),
             ("watches_broken", self.watches_broken.get()),
+            ("invariant_violations", self.invariants.total()),
         ]);
         figures
     }
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -20,10 +20,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use stepusher::{Event, Lifecycle, Members, WorkerId};
+use stepusher::{Effect, Event, Lifecycle, Members, WorkerId};
 
 /// How often idle server links are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
+/// What the protocol adds to each time limit on sockets.
+const DRAIN_SLACK: Duration = Duration::from_millis(50);
 /// A connection not made within this time has failed, where the settings do not say.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
@@ -66,6 +68,7 @@
             tasks: tasks.clone(),
             counters: counters.clone(),
             loads: Fields::new(config.load_fields.clone()),
+            drain_grace: length(config.drain_grace) + DRAIN_SLACK,
             connect_limit,
         });
         let parties = config.classes.len() * config.tenants.len().max(1);
@@ -77,9 +80,11 @@
             ways: ways.clone(),
             counters: counters.clone(),
             tasks: tasks.clone(),
+            single_run: config.settings.classes.iter().map(|c| c.effect == Effect::Unsafe).collect(),
+            full_is_no_proof: config.settings.rules.full_may_have_run,
             open_ids: Default::default(),
         });
-        let entries = ways.host_group.learn(&config.known);
+        let entries = ways.host_group.learn(&config.known, desk.clock.now());
         desk.tell(Event::Members(Members::Cached(entries)));
         let places = Places::new(tasks.clone());
         let source = if config.settings.subscribe { Source::Asked } else { Source::Pushed };
@@ -125,7 +130,7 @@
 
     /// Tells the module of a list, and drops the idle links to executors that are gone.
     fn tell(&self, list: &HostList) {
-        let entries = self.ways.host_group.learn(list);
+        let entries = self.ways.host_group.learn(list, self.desk.clock.now());
         for entry in entries.iter().filter(|e| e.lifecycle == Lifecycle::Gone) {
             self.ways.links.forget(entry.worker);
         }
--- a/engine/src/execution.rs
+++ b/engine/src/execution.rs
@@ -3,6 +3,7 @@
 //! Dropping the future closes the link, which is how an execution is withdrawn.
 
 use crate::ending::Ending;
+use crate::invariants::Written;
 use crate::job::{Fate, Mail, Parcel};
 use crate::links::ServerLink;
 use crate::ways::Ways;
@@ -13,6 +14,7 @@
 use serde_json::Value;
 use sorrelhaven_bodies::BLOCK;
 use sorrelhaven_wire::{BODY_MOST, Fault, Head, Lines, Link, Start, by};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use stepusher::WorkerId;
@@ -81,6 +83,8 @@
     pub before: Instant,
     /// How far the request has come.
     pub fate: Rc<Fate>,
+    /// Set once its last byte was written.
+    pub written: Rc<Cell<bool>>,
 }
 
 impl Order {
@@ -89,6 +93,18 @@
         self.before < self.deadline && Instant::now() >= self.before
     }
 
+    /// The request's last byte was written just now.
+    fn note_written(&self, ways: &Ways, id: &str) {
+        let fate = &self.fate;
+        fate.written.set(true);
+        self.written.set(true);
+        let client_left = fate.left.get();
+        ways.counters.wrote(client_left);
+        let draining = ways.host_group.draining(self.worker).map(|since| (since, ways.drain_grace));
+        let written = Written { client_left, before: self.before, draining };
+        fate.guard.written(&ways.counters.invariants, id, &written);
+    }
+
     /// Why nothing may be sent at this moment, if that is so. A client whose connection has ended is told to the module
     /// by whoever reads from it, which may have much to read before: until then the attempt waits.
     async fn unsendable(&self) -> Option<Ending> {
@@ -123,8 +139,7 @@
         Ok(link) => link,
         Err(ending) => return end(ending),
     };
-    order.fate.written.set(true);
-    ways.counters.wrote(order.fate.left.get());
+    order.note_written(&ways, &parcel.id);
     if parcel.body.length().is_none_or(|length| length > BLOCK as u64) {
         report(Mail::Written { attempt });
     }
--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -1,5 +1,6 @@
 //! The host group: discovery's list of executors, and the watch on it.
 
+use crate::births::Births;
 use crate::clock::length;
 use crate::counters::Counters;
 use async_channel::Receiver;
@@ -54,9 +55,20 @@
 
 #[derive(Default)]
 struct Known {
+    births: Births,
     numbers: HashMap<String, WorkerId>,
     addresses: Vec<Option<SocketAddr>>,
     takes: Vec<bool>,
+    draining: Vec<Option<Instant>>,
+}
+
+impl Known {
+    /// The list says whether an executor takes new work.
+    fn set_takes(&mut self, place: usize, takes: bool) {
+        self.takes[place] = takes;
+        let since = self.draining[place].unwrap_or_else(Instant::now);
+        self.draining[place] = (!takes).then_some(since);
+    }
 }
 
 /// The pauses between asks for the watch: full jitter, each anywhere between nothing and a bound that doubles where the
@@ -149,32 +161,46 @@
         self.known.borrow().takes.get(worker.0 as usize).is_some_and(|takes| *takes)
     }
 
-    /// Takes in a list and gives its entries as the module takes them. An entry that does not read is
+    /// Since when the list says that an executor takes no new work; `None` for one that does.
+    pub fn draining(&self, worker: WorkerId) -> Option<Instant> {
+        self.known.borrow().draining.get(worker.0 as usize).copied().flatten()
+    }
+
+    /// Takes in a list, read at `now`, and gives its entries as the module takes them. An entry that does not read is
     /// passed over: one odd host must not hide what the list says of the others.
-    pub fn learn(&self, list: &HostList) -> Vec<Entry> {
+    pub fn learn(&self, list: &HostList, now: Micros) -> Vec<Entry> {
         let known = &mut *self.known.borrow_mut();
+        known.births.begin_list(list.hosts.iter().map(|host| host.born_ms.saturating_mul(1_000)), now);
         let mut entries = Vec::new();
-        if list.whole {
-            known.takes.fill(false);
-        }
+        let mut listed = vec![false; known.takes.len()];
         for host in &list.hosts {
             let next = WorkerId(known.addresses.len() as u32);
             match host.entry(known.numbers.get(&host.host).copied().unwrap_or(next), &self.names) {
-                Ok(entry) => {
+                Ok(mut entry) => {
+                    entry.born = known.births.start(entry.worker, entry.born, now);
                     if entry.worker == next {
                         known.numbers.insert(host.host.clone(), next);
                         known.addresses.push(None);
                         known.takes.push(false);
+                        known.draining.push(None);
+                        listed.push(false);
                     }
                     if host.dial.is_some() {
                         known.addresses[entry.worker.0 as usize] = host.dial;
                     }
-                    known.takes[entry.worker.0 as usize] = entry.lifecycle == Lifecycle::Ready;
+                    listed[entry.worker.0 as usize] = true;
+                    known.set_takes(entry.worker.0 as usize, entry.lifecycle == Lifecycle::Ready);
                     entries.push(entry);
                 }
                 Err(error) => warn!(host = host.host, %error, "an entry that does not read"),
             }
         }
+        known.births.end_list(now);
+        if list.whole {
+            for place in (0..listed.len()).filter(|place| !listed[*place]) {
+                known.set_takes(place, false);
+            }
+        }
         entries
     }
 }
--- a/engine/src/job.rs
+++ b/engine/src/job.rs
@@ -1,6 +1,7 @@
 //! The plain types that cross between fronts, requests, the desk and executions.
 
 use crate::ending::Ending;
+use crate::invariants::RequestGuard;
 use crate::places::Place;
 use sorrelhaven_bodies::Spool;
 use sorrelhaven_wire::EndProbe;
@@ -77,6 +78,8 @@
     pub written: Cell<bool>,
     /// The client's connection.
     pub client: Option<EndProbe>,
+    /// What the invariants ask of it.
+    pub guard: RequestGuard,
 }
 
 impl Fate {
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -13,6 +13,8 @@
 //! | `job` | the plain types that cross between these |
 //! | `ending` | every way an execution can end, and the module's outcome for each |
 //! | `places` | long bodies that are on their way to boxes at once |
+//! | `invariants` | what must hold whatever happens, checked at run time |
+//! | `births` | when executors started, on the node's own clock |
 //! | `tasks`, `clock`, `counters` | what their names say |
 //!
 //! ```no_run
@@ -27,6 +29,7 @@
 //! # Ok::<(), sorrelhaven_config::Faults>(())
 //! ```
 
+mod births;
 mod clock;
 mod counters;
 mod desk;
@@ -34,6 +37,7 @@
 mod engine;
 mod execution;
 mod host_group;
+mod invariants;
 mod job;
 mod links;
 mod load;
@@ -51,6 +55,7 @@
 pub use ending::Ending;
 pub use engine::Engine;
 pub use host_group::HostGroup;
+pub use invariants::{Invariant, Invariants, RequestGuard, Written};
 pub use job::{Answer, Job, Mail, Parcel};
 pub use links::{Descriptors, Links, Permit, ServerLink};
 pub use places::{Place, Places};
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -6,22 +6,25 @@
 use crate::desk::Desk;
 use crate::ending::Ending;
 use crate::execution::{self, Order};
+use crate::invariants::{Invariant, RequestGuard};
 use crate::job::{Answer, Fate, Job, Mail, Parcel};
 use crate::places::Place;
 use crate::tasks::Tasks;
 use crate::ways::Ways;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Instant;
 use stepusher::{Arrival, Event, Micros, RequestId, WorkerId};
+use tracing::debug;
 
 /// An execution that has not ended.
 struct Execution {
     worker: WorkerId,
     sent: Micros,
+    written: Rc<Cell<bool>>,
     task: Task<()>,
 }
 
@@ -53,6 +56,10 @@
     pub counters: Rc<Counters>,
     /// Where their tasks run.
     pub tasks: Rc<Tasks>,
+    /// Whether a request of each class must not run twice.
+    pub single_run: Vec<bool>,
+    /// An executor's word that it is full does not prove that the attempt never ran.
+    pub full_is_no_proof: bool,
     /// The ids of the requests that are open.
     pub open_ids: RefCell<HashSet<Rc<str>>>,
 }
@@ -68,6 +75,8 @@
         let (mail, inbox) = async_channel::unbounded();
         let (reply, answer) = async_channel::bounded(1);
         self.counters.took(job.class);
+        let single_run = self.single_run.get(job.class).copied().unwrap_or(true);
+        let guard = RequestGuard::new(single_run, self.full_is_no_proof);
         let life = Life {
             requests: self.clone(),
             id: self.desk.open(mail.clone()),
@@ -76,7 +85,7 @@
             mail: mail.clone(),
             reply,
             place: None,
-            fate: Rc::new(Fate { client: job.client.clone(), ..Fate::default() }),
+            fate: Rc::new(Fate { client: job.client.clone(), guard, ..Fate::default() }),
             executions: HashMap::new(),
         };
         self.tasks.spawn(life.run(job, inbox));
@@ -176,19 +185,25 @@
         let Requests { desk, ways, counters, tasks, .. } = &*self.requests;
         counters.sent.add();
         let (deadline, before) = (desk.clock.instant(deadline), desk.clock.instant(before.min(deadline)));
-        let order = Order { attempt, worker, deadline, before, fate: self.fate.clone() };
+        let written = Rc::<Cell<bool>>::default();
+        let fate = self.fate.clone();
+        let order = Order { attempt, worker, deadline, before, fate, written: written.clone() };
         let task = if self.fate.over.get() {
             let _ = self.mail.try_send(Mail::Ended { attempt, ending: Ending::Concluded, load: Vec::new() });
             tasks.hold(std::future::ready(()))
         } else {
             tasks.hold(execution::run(ways.clone(), parcel.clone(), order, self.mail.clone()))
         };
-        self.executions.insert(attempt, Execution { worker, sent: desk.clock.now(), task });
+        self.executions.insert(attempt, Execution { worker, sent: desk.clock.now(), written, task });
     }
 
     /// Gives an execution its one outcome. Of two ways to end that cross, the first counts.
     fn ended(&mut self, attempt: u32, ending: Ending, report: Vec<f64>) {
-        let Some(Execution { worker, sent, task }) = self.executions.remove(&attempt) else { return };
+        let Some(Execution { worker, sent, written, task }) = self.executions.remove(&attempt) else {
+            return;
+        };
+        self.fate.guard.ended(&ending, written.get());
+        debug!(id = %self.name, attempt, worker = worker.0, ?ending, written = written.get(), "attempt ended");
         let outcome = ending.outcome();
         self.requests.counters.ended(outcome);
         match ending {
@@ -207,6 +222,10 @@
     fn answer(&mut self, answer: Answer) {
         if !self.fate.over.replace(true) {
             self.place = None;
+            if matches!(answer, Answer::Throttled { .. }) {
+                self.fate.guard.refused(&self.requests.counters.invariants, &self.name);
+            }
+            debug!(id = %self.name, ?answer, "answered");
             let end = match answer {
                 Answer::Served(_) => End::Served,
                 Answer::Throttled { .. } => End::Throttled,
@@ -220,9 +239,13 @@
 
 impl Drop for Life {
     fn drop(&mut self) {
-        if !self.fate.over.get() {
+        let counters = &self.requests.counters;
+        let (answered, all_ended) = (self.fate.over.get(), self.executions.is_empty());
+        counters.invariants.check(Invariant::OneFinalAnswer, &self.name, answered);
+        counters.invariants.check(Invariant::OneOutcomePerAttempt, &self.name, all_ended);
+        if !answered {
             // The client hears of a fault of the node's own.
-            self.requests.counters.gave(self.class, End::Failed);
+            counters.gave(self.class, End::Failed);
         }
         self.requests.desk.close(self.id);
         self.requests.open_ids.borrow_mut().remove(&self.name);
--- /dev/null
+++ b/engine/src/tests/invariants.rs
@@ -0,0 +1,71 @@
+//! A guard that finds nothing proves nothing: each invariant, kept and then broken.
+
+use crate::ending::Ending;
+use crate::invariants::{Invariant, Invariants, RequestGuard, Written};
+use std::time::{Duration, Instant};
+
+fn written() -> Written {
+    Written { client_left: None, before: Instant::now() + Duration::from_secs(1), draining: None }
+}
+
+/// What is violated by a request that goes through this.
+fn violated(single_run: bool, life: impl Fn(&RequestGuard, &Invariants)) -> Vec<&'static str> {
+    let (guard, invariants) = (RequestGuard::new(single_run, false), Invariants::default());
+    life(&guard, &invariants);
+    invariants.counts().filter(|(_, count)| *count > 0).map(|(name, _)| name).collect()
+}
+
+#[test]
+fn each_invariant_is_counted_where_it_is_broken_and_only_there() {
+    let ago = |ms| Instant::now().checked_sub(Duration::from_millis(ms));
+    let write = |change: fn(&mut Written, Option<Instant>), ms| {
+        violated(true, move |guard, invariants| {
+            let mut attempt = written();
+            change(&mut attempt, ago(ms));
+            guard.written(invariants, "r1", &attempt);
+        })
+    };
+    assert_eq!(write(|_, _| {}, 0), [""; 0]);
+    assert_eq!(write(|w, at| w.client_left = at, 50), [""; 0]);
+    assert_eq!(write(|w, at| w.client_left = at, 120), ["no_attempt_for_gone_client"]);
+    assert_eq!(write(|w, at| w.before = at.expect("a time"), 100), [""; 0], "a process may be held up");
+    assert_eq!(write(|w, at| w.before = at.expect("a time"), 200), ["no_attempt_after_deadline"]);
+    let grace = |w: &mut Written, at: Option<Instant>| w.draining = at.map(|at| (at, Duration::from_secs(1)));
+    assert_eq!(write(grace, 900), [""; 0]);
+    assert_eq!(write(grace, 1_100), ["nothing_to_drained"]);
+}
+
+#[test]
+fn a_single_run_that_may_have_run_is_neither_sent_again_nor_refused() {
+    let twice = |single, between: Ending| {
+        violated(single, move |guard, invariants| {
+            guard.written(invariants, "r1", &written());
+            guard.ended(&between, true);
+            guard.written(invariants, "r1", &written());
+        })
+    };
+    assert_eq!(twice(true, Ending::Returned), [""; 0]);
+    assert_eq!(twice(false, Ending::Broken), [""; 0]);
+    assert_eq!(twice(true, Ending::Broken), ["single_run_once"]);
+    assert_eq!(twice(true, Ending::Stale), ["single_run_once"]);
+    let refused = |ending: Ending| {
+        violated(true, move |guard, invariants| {
+            guard.written(invariants, "r1", &written());
+            guard.ended(&ending, true);
+            guard.refused(invariants, "r1");
+        })
+    };
+    assert_eq!(refused(Ending::Returned), [""; 0]);
+    assert_eq!(refused(Ending::Silent), ["no_refusal_after_run"]);
+}
+
+#[test]
+fn every_invariant_has_a_count_of_its_own() {
+    let invariants = Invariants::default();
+    for invariant in Invariant::ALL {
+        invariants.check(invariant, "r1", true);
+        invariants.check(invariant, "r1", false);
+    }
+    assert!(invariants.counts().all(|(_, count)| count == 1));
+    assert_eq!(invariants.total(), Invariant::ALL.len() as u64);
+}
--- a/engine/src/tests/mod.rs
+++ b/engine/src/tests/mod.rs
@@ -1,7 +1,9 @@
 //! Tests of the network code: connections as models, checked against random steps with a fixed seed.
 
 mod backoff;
+mod births;
 mod endings;
+mod invariants;
 mod load;
 mod places;
 mod request;
--- a/engine/src/tests/shared.rs
+++ b/engine/src/tests/shared.rs
@@ -23,7 +23,14 @@
 /// A first execution at the one executor, which waits for so long.
 pub fn order(wait: Duration) -> Order {
     let deadline = Instant::now() + wait;
-    Order { attempt: 0, worker: WorkerId(0), deadline, before: deadline, fate: Rc::default() }
+    Order {
+        attempt: 0,
+        worker: WorkerId(0),
+        deadline,
+        before: deadline,
+        fate: Rc::default(),
+        written: Rc::default(),
+    }
 }
 
 /// Runs the engine's tasks until `work` is done.
--- a/engine/src/ways.rs
+++ b/engine/src/ways.rs
@@ -23,6 +23,8 @@
     pub counters: Rc<Counters>,
     /// The fields of load reports.
     pub loads: Fields,
+    /// How long after its drain was told an executor may still be sent something.
+    pub drain_grace: Duration,
     /// A connection not made within this time has failed.
     pub connect_limit: Duration,
 }
--- a/ops/src/desk.rs
+++ b/ops/src/desk.rs
@@ -80,6 +80,7 @@
             in_progress: counters.in_progress(),
             known_executors: census.known,
             skipped_executors: census.skipped(),
+            invariant_violations: counters.invariants.counts().collect(),
             members: self.member_figures(),
         }
     }
--- a/ops/src/figures.rs
+++ b/ops/src/figures.rs
@@ -31,6 +31,8 @@
     pub known_executors: u64,
     /// Those of them that the node now avoids.
     pub skipped_executors: u64,
+    /// Violations of each invariant, by its name.
+    pub invariant_violations: Vec<(&'static str, u64)>,
     /// Of the other nodes, where membership is on: name, kind and figure of each.
     pub members: Vec<(&'static str, &'static str, u64)>,
 }
@@ -57,6 +59,12 @@
         for (name, kind, figure) in single.into_iter().chain(self.members.iter().copied()) {
             let _ = writeln!(text, "# TYPE node_{name} {kind}\nnode_{name} {figure}");
         }
+        if !self.invariant_violations.is_empty() {
+            text += "# TYPE node_invariant_violations counter\n";
+        }
+        for (name, count) in &self.invariant_violations {
+            let _ = writeln!(text, "node_invariant_violations{{name=\"{name}\"}} {count}");
+        }
         text + "EOT\n"
     }
 }
--- a/ops/tests/calls.rs
+++ b/ops/tests/calls.rs
@@ -87,6 +87,7 @@
         in_progress: 14,
         known_executors: 9,
         skipped_executors: 2,
+        invariant_violations: vec![("single_run_once", 0)],
         members: vec![("members_alive", "gauge", 5)],
     };
     let text = figures.text();
@@ -100,6 +101,7 @@
         "node_in_progress 14",
         "node_known_executors 9",
         "node_skipped_executors 2",
+        "node_invariant_violations{name=\"single_run_once\"} 0",
     ] {
         assert_eq!(text.lines().filter(|l| *l == line).count(), 1, "{line} in {text}");
     }
