--- a/front/http1/src/accept.rs
+++ b/front/http1/src/accept.rs
@@ -15,14 +15,33 @@
 
 /// The longest pause of the accept loop when there is no descriptor for another link.
 const FULL_PAUSE: Duration = Duration::from_millis(10);
+/// How long a node that starts tries to listen where the machine is short of something, and the pause between two tries.
+const LISTEN_MOST: Duration = Duration::from_secs(3);
+const LISTEN_PAUSE: Duration = Duration::from_millis(10);
 /// The longest that a node which ends takes to accept what waits in its own queue.
 const EMPTYING_MOST: Duration = Duration::from_millis(500);
 /// Connections that may wait for their accept: a burst of hundreds must not make a usual client's be dropped,
 /// for it would be sent again only a second later.
 const BACKLOG: i32 = 1024;
 
-/// Listens where clients connect.
+/// Listens where clients connect. A shortage of the machine is waited out for [`LISTEN_MOST`]: a node must not refuse to
+/// start for a moment's want of memory.
 pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let until = Instant::now() + LISTEN_MOST;
+    loop {
+        match listen_once(address) {
+            Err(error) if Instant::now() < until => match classify(Call::Listen, &error) {
+                Failure::Interrupted => {}
+                // Nothing else runs yet.
+                Failure::Shortage => std::thread::sleep(LISTEN_PAUSE),
+                Failure::NotReady | Failure::DescriptorLimit | Failure::Connection => return Err(error),
+            },
+            listening => return listening,
+        }
+    }
+}
+
+fn listen_once(address: SocketAddr) -> io::Result<Async<TcpListener>> {
     let listener = Async::<TcpListener>::bind(address)?;
     rustix::net::listen(&listener, BACKLOG)?;
     Ok(listener)
--- a/standins/src/program.rs
+++ b/standins/src/program.rs
@@ -45,6 +45,8 @@
     }
 }
 
+/// A program that was told to end must have ended by then; far more than it may take.
+const END_MOST: std::time::Duration = std::time::Duration::from_secs(30);
 /// The variables that the program reads.
 const VARIABLES: [&str; 7] = [
     "RUST_LOG",
@@ -159,8 +161,17 @@
     /// Asks it to end, and gives what is left of its log; panics where it does not end cleanly.
     pub fn end(mut self) -> String {
         self.signal("TERM");
+        // One that never ends must not hold up the tests for ever: its log ends with it.
+        let (id, (ended, watch)) = (self.child.id().to_string(), std::sync::mpsc::channel::<()>());
+        let watchdog = std::thread::spawn(move || {
+            if watch.recv_timeout(END_MOST) == Err(std::sync::mpsc::RecvTimeoutError::Timeout) {
+                let _ = Command::new("kill").args(["-s", "KILL", &id]).status();
+            }
+        });
         let mut rest = String::new();
         self.log.read_to_string(&mut rest).expect("its log");
+        drop(ended);
+        watchdog.join().expect("the watchdog");
         assert!(self.child.wait().expect("it ends").success(), "{rest}");
         rest
     }
--- a/wire/src/errno.rs
+++ b/wire/src/errno.rs
@@ -16,6 +16,8 @@
 pub enum Call {
     /// `accept4` on a listener.
     Accept,
+    /// `socket`, `bind` and `listen` for a listener; an address that is taken is not a shortage.
+    Listen,
     /// `socket` and `connect` towards a peer.
     Connect,
     /// `read`, `write`, `recv`, `send`, `shutdown`, `poll` and options of a connection that is up.
@@ -57,7 +59,7 @@
         (Call::Connect, Errno::NETUNREACH | Errno::NETDOWN | Errno::PERM | Errno::ACCESS) => {
             Failure::Shortage
         }
-        (Call::Accept | Call::Transfer, Errno::AGAIN) => Failure::NotReady,
+        (Call::Accept | Call::Listen | Call::Transfer, Errno::AGAIN) => Failure::NotReady,
         _ => Failure::Connection,
     }
 }
