The longest step of the event loop, timer lag, late answers and long steps are measured

Cause: the incident's records hold nothing of the node's own responsiveness, so that a loop that is held up, a lost wake-up and a full connection can't be told apart from its log. Steps of the event loop are timed one by one; a step over 50 ms is counted and logged, with the part of it (parsing a list, its entries, the module's event) that took so long; the module's timers tell how late they fired; an answer after its deadline is counted, and logged by id at debug, as is the beginning of each attempt. Counters line and show-stat have the figures. The count has a file of its own, which undoes the circle between counters and invariants. No behaviour changes.

--- a/engine/src/counters.rs
+++ b/engine/src/counters.rs
@@ -1,29 +1,16 @@
 //! What the node has taken in, sent and answered.
 
+use crate::count::Count;
 use crate::invariants::Invariants;
+use crate::responsiveness::Responsiveness;
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use stepusher::Outcome;
 
 /// A client that has left must not have its request sent on from so long after it left.
 pub const LATE: Duration = Duration::from_millis(100);
 
-/// One count.
-#[derive(Default)]
-pub struct Count(Cell<u64>);
-
-impl Count {
-    /// One more.
-    pub fn add(&self) {
-        self.0.set(self.0.get() + 1);
-    }
-
-    /// The count so far.
-    pub fn get(&self) -> u64 {
-        self.0.get()
-    }
-}
-
 /// The counts of one class since the start.
 #[derive(Default)]
 pub struct ClassCounters {
@@ -69,6 +56,10 @@
     pub watches_broken: Count,
     /// What must hold, and how often it did not.
     pub invariants: Invariants,
+    /// How long the event loop was held up.
+    pub responsiveness: Rc<Responsiveness>,
+    /// Answers given after their request's deadline.
+    pub answered_late: Count,
     outcomes: [Count; 9],
 }
 
@@ -184,6 +175,10 @@
             ("lists", self.lists.get()),
             ("watches_broken", self.watches_broken.get()),
             ("invariant_violations", self.invariants.total()),
+            ("answered_late", self.answered_late.get()),
+            ("long_steps", self.responsiveness.long_steps.get()),
+            ("longest_step_us", self.responsiveness.longest_step.micros()),
+            ("longest_timer_lag_us", self.responsiveness.longest_timer_lag.micros()),
         ]);
         figures
     }
--- a/engine/src/desk.rs
+++ b/engine/src/desk.rs
@@ -5,11 +5,14 @@
 
 use crate::clock::Clock;
 use crate::job::Mail;
+use crate::responsiveness::Responsiveness;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future::or;
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 use stepusher::{Action, Census, Dispatcher, Event, Micros, RequestId, Settings, WorkerId};
 use tracing::{debug, info, warn};
 
@@ -24,6 +27,7 @@
     timers: Sender<Due>,
     timers_set: Receiver<Due>,
     probes: Sender<WorkerId>,
+    responsiveness: Rc<Responsiveness>,
 }
 
 struct State {
@@ -34,12 +38,18 @@
 }
 
 impl Desk {
-    /// A desk that asks for probes through `probes`.
-    pub fn new(settings: Settings, seed: u64, clock: Clock, probes: Sender<WorkerId>) -> Desk {
+    /// A desk that asks for probes through `probes`, and tells `responsiveness` how long its work takes.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        probes: Sender<WorkerId>,
+        responsiveness: Rc<Responsiveness>,
+    ) -> Desk {
         let dispatcher = Dispatcher::new(settings, seed);
         let state = State { dispatcher, requests: HashMap::new(), next: 0, actions: Vec::new() };
         let (timers, timers_set) = async_channel::unbounded();
-        Desk { clock, state: RefCell::new(state), timers, timers_set, probes }
+        Desk { clock, state: RefCell::new(state), timers, timers_set, probes, responsiveness }
     }
 
     /// Numbers a request; its actions go to `mail` until it is closed.
@@ -71,7 +81,9 @@
         let now = self.clock.now();
         let state = &mut *self.state.borrow_mut();
         debug!(?event, "event");
+        let (begun, part) = (Instant::now(), name(&event));
         state.dispatcher.handle(now, event, &mut state.actions);
+        self.responsiveness.part_ended(part, begun);
         for action in state.actions.drain(..) {
             debug!(?action, "action");
             match action {
@@ -123,12 +135,28 @@
                 && at <= self.clock.now()
             {
                 pending.pop_first();
+                let lag = self.clock.now().saturating_sub(at);
+                self.responsiveness.longest_timer_lag.note(Duration::from_micros(lag.unsigned_abs()));
                 self.tell(Event::Timer(token));
             }
         }
     }
 }
 
+/// The name of an event in the log.
+fn name(event: &Event) -> &'static str {
+    match event {
+        Event::Members(_) => "executor list",
+        Event::Arrival(_) => "arrival",
+        Event::Started { .. } | Event::Streaming { .. } | Event::Progress { .. } => "progress of an attempt",
+        Event::Outcome { .. } => "end of an attempt",
+        Event::Written { .. } | Event::PassedOn(_) => "body written",
+        Event::Lapsed(_) => "client left",
+        Event::Probed { .. } => "probe",
+        Event::Timer(_) => "timer",
+    }
+}
+
 /// An action may concern a request that was closed in the same moment; then nothing is left to do.
 fn post(requests: &HashMap<RequestId, Sender<Mail>>, id: RequestId, mail: Mail) {
     match requests.get(&id) {
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use stepusher::{Effect, Event, Lifecycle, Members, WorkerId};
 
 /// How often idle server links are looked through.
@@ -59,8 +59,11 @@
             t => length(t),
         };
         let classes = config.classes.iter().map(|c| c.name.clone());
-        let (tasks, counters) = (Rc::<Tasks>::default(), Rc::new(Counters::new(classes)));
-        let desk = Rc::new(Desk::new(config.settings.clone(), config.seed, Clock::start(), ask));
+        let counters = Rc::new(Counters::new(classes));
+        let responsiveness = counters.responsiveness.clone();
+        let tasks = Rc::new(Tasks::new(responsiveness.clone()));
+        let desk =
+            Rc::new(Desk::new(config.settings.clone(), config.seed, Clock::start(), ask, responsiveness));
         let descriptors = Descriptors::new(config.sockets);
         let ways = Rc::new(Ways {
             host_group: HostGroup::new(config.names.clone()),
@@ -130,7 +133,9 @@
 
     /// Tells the module of a list, and drops the idle links to executors that are gone.
     fn tell(&self, list: &HostList) {
+        let begun = Instant::now();
         let entries = self.ways.host_group.learn(list, self.desk.clock.now());
+        self.counters.responsiveness.part_ended("entries of an executor list", begun);
         for entry in entries.iter().filter(|e| e.lifecycle == Lifecycle::Gone) {
             self.ways.links.forget(entry.worker);
         }
--- a/engine/src/host_group.rs
+++ b/engine/src/host_group.rs
@@ -314,7 +314,9 @@
                     Came::End => return Err(WatchEnd::Unreadable(Fault::Closed)),
                     Came::Part => {}
                     Came::Object(text) => {
+                        let begun = Instant::now();
                         let list = HostList::read(&text).map_err(WatchEnd::Malformed)?;
+                        self.counters.responsiveness.part_ended("parsing an executor list", begun);
                         info!(seq = list.seq, whole = list.whole, hosts = list.hosts.len(), "host group");
                         tell(&list);
                         *after = Some(list.seq);
--- a/engine/src/invariants.rs
+++ b/engine/src/invariants.rs
@@ -4,7 +4,7 @@
 //! (`node_invariant_violations{name}`), the line of counters sums up (`invariant_violations`), and the log names with the
 //! request's id. A violation ends nothing: the request goes on as it would have. The soak and the tests fail on any.
 
-use crate::counters::Count;
+use crate::count::Count;
 use crate::ending::Ending;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -15,7 +15,8 @@
 //! | `places` | long bodies that are on their way to boxes at once |
 //! | `invariants` | what must hold whatever happens, checked at run time |
 //! | `births` | when executors started, on the node's own clock |
-//! | `tasks`, `clock`, `counters` | what their names say |
+//! | `responsiveness` | how long the event loop is held up |
+//! | `tasks`, `clock`, `counters`, `count` | what their names say |
 //!
 //! ```no_run
 //! use sorrelhaven_config::Config;
@@ -31,6 +32,7 @@
 
 mod births;
 mod clock;
+mod count;
 mod counters;
 mod desk;
 mod ending;
@@ -44,13 +46,15 @@
 mod places;
 mod probe;
 mod request;
+mod responsiveness;
 mod tasks;
 #[cfg(test)]
 mod tests;
 mod ways;
 
 pub use clock::{Clock, length};
-pub use counters::{ClassCounters, Count, Counters, End};
+pub use count::{Count, Longest};
+pub use counters::{ClassCounters, Counters, End};
 pub use desk::Desk;
 pub use ending::Ending;
 pub use engine::Engine;
@@ -60,5 +64,6 @@
 pub use links::{Descriptors, Links, Permit, ServerLink};
 pub use places::{Place, Places};
 pub use request::Ticket;
+pub use responsiveness::{LONG_STEP, Responsiveness};
 pub use tasks::Tasks;
 pub use ways::Ways;
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -81,6 +81,7 @@
             requests: self.clone(),
             id: self.desk.open(mail.clone()),
             class: job.class,
+            due: job.due,
             name,
             mail: mail.clone(),
             reply,
@@ -97,6 +98,7 @@
     requests: Rc<Requests>,
     id: RequestId,
     class: usize,
+    due: Micros,
     name: Rc<str>,
     mail: Sender<Mail>,
     reply: Sender<Answer>,
@@ -184,6 +186,7 @@
     ) {
         let Requests { desk, ways, counters, tasks, .. } = &*self.requests;
         counters.sent.add();
+        debug!(id = %self.name, attempt, worker = worker.0, "attempt begun");
         let (deadline, before) = (desk.clock.instant(deadline), desk.clock.instant(before.min(deadline)));
         let written = Rc::<Cell<bool>>::default();
         let fate = self.fate.clone();
@@ -226,6 +229,11 @@
                 self.fate.guard.refused(&self.requests.counters.invariants, &self.name);
             }
             debug!(id = %self.name, ?answer, "answered");
+            let late = self.requests.desk.clock.now() - self.due;
+            if late > 0 {
+                self.requests.counters.answered_late.add();
+                debug!(id = %self.name, late_us = late, "answered after its deadline");
+            }
             let end = match answer {
                 Answer::Served(_) => End::Served,
                 Answer::Throttled { .. } => End::Throttled,
--- a/engine/src/tasks.rs
+++ b/engine/src/tasks.rs
@@ -1,8 +1,12 @@
 //! The one executor, of one thread: urgent tasks go ahead of all others.
 
+use crate::responsiveness::Responsiveness;
 use async_executor::{LocalExecutor, Task};
 use event_listener::Event;
-use futures_lite::future::{or, yield_now};
+use futures_lite::future::{or, poll_fn, yield_now};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Instant;
 
 /// Ticks of the executor before the sockets are looked at again.
 const TICKS: usize = 64;
@@ -10,12 +14,18 @@
 /// All tasks of one node.
 #[derive(Default)]
 pub struct Tasks {
+    responsiveness: Rc<Responsiveness>,
     urgent: LocalExecutor<'static>,
     ordinary: LocalExecutor<'static>,
     turns: Event,
 }
 
 impl Tasks {
+    /// No tasks yet; how long each step of one takes is told to `responsiveness`.
+    pub fn new(responsiveness: Rc<Responsiveness>) -> Tasks {
+        Tasks { responsiveness, ..Tasks::default() }
+    }
+
     /// Starts a task that nobody waits for.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
         self.ordinary.spawn(task).detach();
@@ -43,18 +53,42 @@
         self.turns.listen().await;
     }
 
+    /// Runs one task that can run up to where it waits, if there is one.
+    fn step(&self, executor: &LocalExecutor<'_>) -> bool {
+        let begun = Instant::now();
+        let ran = executor.try_tick();
+        if ran {
+            self.responsiveness.step_ended(begun);
+        }
+        ran
+    }
+
+    /// Waits until a task can run, and runs it up to where it waits.
+    async fn next_step(&self) {
+        let mut step = pin!(or(self.urgent.tick(), self.ordinary.tick()));
+        poll_fn(|context| {
+            let begun = Instant::now();
+            let polled = step.as_mut().poll(context);
+            if polled.is_ready() {
+                self.responsiveness.step_ended(begun);
+            }
+            polled
+        })
+        .await;
+    }
+
     /// Runs all tasks, for ever.
     pub async fn run(&self) -> std::convert::Infallible {
         loop {
             for _ in 0..TICKS {
-                while self.urgent.try_tick() {}
-                if self.ordinary.try_tick() {
+                while self.step(&self.urgent) {}
+                if self.step(&self.ordinary) {
                     continue;
                 }
                 if self.turns.notify_additional(1) > 0 {
                     break;
                 }
-                or(self.urgent.tick(), self.ordinary.tick()).await;
+                self.next_step().await;
             }
             // However much there is to do, large bodies go on, if slowly.
             self.turns.notify_additional(1);
--- a/ops/src/desk.rs
+++ b/ops/src/desk.rs
@@ -81,6 +81,10 @@
             known_executors: census.known,
             skipped_executors: census.skipped(),
             invariant_violations: counters.invariants.counts().collect(),
+            longest_step_us: counters.responsiveness.longest_step.micros(),
+            longest_timer_lag_us: counters.responsiveness.longest_timer_lag.micros(),
+            long_steps: counters.responsiveness.long_steps.get(),
+            answered_late: counters.answered_late.get(),
             members: self.member_figures(),
         }
     }
--- a/ops/src/figures.rs
+++ b/ops/src/figures.rs
@@ -33,6 +33,14 @@
     pub skipped_executors: u64,
     /// Violations of each invariant, by its name.
     pub invariant_violations: Vec<(&'static str, u64)>,
+    /// The longest step of the event loop, in microseconds.
+    pub longest_step_us: u64,
+    /// The longest time by which a timer fired late, in microseconds.
+    pub longest_timer_lag_us: u64,
+    /// Steps of the event loop that took over 50 ms.
+    pub long_steps: u64,
+    /// Answers given after their request's deadline.
+    pub answered_late: u64,
     /// Of the other nodes, where membership is on: name, kind and figure of each.
     pub members: Vec<(&'static str, &'static str, u64)>,
 }
@@ -55,6 +63,10 @@
             ("in_progress", "gauge", self.in_progress),
             ("known_executors", "gauge", self.known_executors),
             ("skipped_executors", "gauge", self.skipped_executors),
+            ("longest_step_us", "gauge", self.longest_step_us),
+            ("longest_timer_lag_us", "gauge", self.longest_timer_lag_us),
+            ("long_steps", "counter", self.long_steps),
+            ("answered_late", "counter", self.answered_late),
         ];
         for (name, kind, figure) in single.into_iter().chain(self.members.iter().copied()) {
             let _ = writeln!(text, "# TYPE node_{name} {kind}\nnode_{name} {figure}");
--- a/ops/tests/calls.rs
+++ b/ops/tests/calls.rs
@@ -88,6 +88,10 @@
         known_executors: 9,
         skipped_executors: 2,
         invariant_violations: vec![("single_run_once", 0)],
+        longest_step_us: 1_200,
+        longest_timer_lag_us: 900,
+        long_steps: 3,
+        answered_late: 4,
         members: vec![("members_alive", "gauge", 5)],
     };
     let text = figures.text();
@@ -102,6 +106,10 @@
         "node_known_executors 9",
         "node_skipped_executors 2",
         "node_invariant_violations{name=\"single_run_once\"} 0",
+        "node_longest_step_us 1200",
+        "node_longest_timer_lag_us 900",
+        "node_long_steps 3",
+        "node_answered_late 4",
     ] {
         assert_eq!(text.lines().filter(|l| *l == line).count(), 1, "{line} in {text}");
     }
