The decision module is split into files of one concern each, with the same decisions

It is src/dispatcher.rs now, which routes events, and one file below it for each concern: the list, capacity, prediction, selection, requests, time-outs, permission, slow start, health, admission, and the state they share.

--- /dev/null
+++ b/src/dispatcher/fleet.rs
@@ -0,0 +1,131 @@
+//! The list of workers, and the few of them that one dispatcher works with.
+
+use super::*;
+
+/// The set is chosen anew after this long: workers warm up.
+const SET_KEPT: Micros = 1_000_000;
+/// The first pause before the list is asked for again; it doubles up to 16 times.
+const WATCH_PAUSE: Micros = 250_000;
+/// Beyond so many times `ZONE` a zone is large: a dispatcher sees little of what goes to its workers.
+const LARGE: f64 = 2.0;
+/// A kind out of all range must not claim room for all below it.
+const KINDS_MOST: usize = 1023;
+
+impl Dispatcher {
+    pub(super) fn on_members(&mut self, members: Members, actions: &mut Vec<Action>) {
+        let (entries, full, cached) = match members {
+            Members::Failed => {
+                let pause = WATCH_PAUSE << self.watch_failures.min(4);
+                let jitter = self.rng.i64(0..pause / 2 + 1);
+                self.watch_failures += 1;
+                return actions.push(Action::Timer { delay: pause + jitter, token: WATCH });
+            }
+            Members::Delta(entries) => (entries, false, false),
+            Members::Full(entries) => (entries, true, false),
+            Members::Cached(entries) => (entries, true, true),
+        };
+        if full {
+            self.workers.iter_mut().for_each(|w| w.entry.lifecycle = Lifecycle::Gone);
+        }
+        entries.into_iter().for_each(|entry| self.on_entry(entry));
+        if cached && self.settings.subscribe {
+            actions.push(Action::Watch);
+        } else {
+            self.watch_failures = 0;
+        }
+        let all = (0..self.workers.len() as u32).map(WorkerId);
+        self.ready = all.filter(|&id| self.worker(id).ready()).collect();
+        let own = self.ready.iter().filter(|&&id| self.worker(id).entry.zone == self.settings.zone).count();
+        self.ratings = self.ready.iter().map(|&id| self.size(self.worker(id))).sum();
+        self.apart = (own as f64 / ZONE).max(1.0);
+        self.beyond = (self.apart - LARGE).max(0.0);
+        self.set_stale = true;
+    }
+
+    pub(super) fn on_entry(&mut self, entry: Entry) {
+        let classes = self.settings.classes.len();
+        let draw = self.rng.f64() * self.mean_size;
+        let w = self.worker_mut(entry.worker);
+        w.epc.resize(classes, Epc::default());
+        w.full.resize(classes, (0, 0));
+        w.wait.resize(classes, (0.0, 0));
+        if entry.born > w.entry.born {
+            // A fresh process: what the old one did or failed to do says nothing of it.
+            w.timeouts = 0;
+            w.full.fill((0, 0));
+            w.cold = (draw, entry.born);
+            w.keys = Keys::default();
+        }
+        w.entry = entry;
+        w.entry.rating = if w.entry.rating.is_finite() { w.entry.rating.max(0.0) } else { 1.0 };
+        w.entry.kind = w.entry.kind.min(KINDS_MOST);
+        let (kind, rating) = (w.entry.kind, w.entry.rating);
+        self.kinds.resize((kind + 1).max(self.kinds.len()), Kind::default());
+        let size = if self.settings.live_weights { rating } else { 0.0 };
+        self.kinds[kind].size = self.kinds[kind].size.max(size);
+    }
+
+    /// Chooses the workers that this dispatcher works with: the paper's top N, made narrow. Each one has
+    /// its own, more of them the more a worker can do at present. Guards against stale knowledge, many
+    /// connections, and all dispatchers at one cold worker. A closed worker takes no place of the N.
+    pub(super) fn choose_set(&mut self, now: Micros) {
+        (0..self.ready.len()).for_each(|i| self.estimate(self.ready[i]));
+        let total: f64 = self.ready.iter().map(|&id| self.weight(id, now)).sum();
+        let n = self.n.min(self.ready.len());
+        self.per_weight = n as f64 / total.max(1e-9);
+        self.set = self.nearest(u64::from(self.settings.me) + 1, now, 3 * n, |_| true);
+        let closed = |&id: &WorkerId| !self.sound(id) || self.worker(id).full.iter().any(|f| f.1 > now);
+        let passed = self.set.iter().take(2 * n).filter(|id| closed(id)).count();
+        self.set.truncate(n + passed);
+        self.set_until = now + SET_KEPT;
+    }
+
+    /// What a worker can do at present beside others, one in another zone less the larger the own is.
+    pub(super) fn weight(&self, id: WorkerId, now: Micros) -> f64 {
+        let w = self.worker(id);
+        let apart = if w.entry.zone == self.settings.zone { 1.0 } else { self.apart };
+        self.size(w).max(1e-3) * self.warmth(w, now) / apart
+    }
+
+    /// Up to `most` workers that take work and `fit`, the nearest to a key first. Few are sorted.
+    pub(super) fn nearest(
+        &self,
+        key: u64,
+        now: Micros,
+        most: usize,
+        fit: impl Fn(&WorkerId) -> bool,
+    ) -> Vec<WorkerId> {
+        let far = |&id: &WorkerId| (distance(key, self.worker(id).entry.key, self.weight(id, now)), id);
+        let mut rest: Vec<(f64, WorkerId)> = self.ready.iter().map(far).collect();
+        let mut near = Vec::new();
+        while near.len() < most && !rest.is_empty() {
+            let nearer = |a: &(f64, WorkerId), b: &(f64, WorkerId)| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1));
+            let others = rest.len().saturating_sub(2 * most);
+            rest.select_nth_unstable_by(others, nearer);
+            let mut some = rest.split_off(others);
+            some.sort_unstable_by(nearer);
+            near.extend(some.into_iter().rev().map(|n| n.1).filter(&fit).take(most - near.len()));
+        }
+        near
+    }
+
+    pub(super) fn worker_mut(&mut self, id: WorkerId) -> &mut Worker {
+        let i = id.0 as usize;
+        self.workers.resize_with(self.workers.len().max(i + 1), Worker::default);
+        &mut self.workers[i]
+    }
+
+    pub(super) fn worker(&self, id: WorkerId) -> &Worker {
+        &self.workers[id.0 as usize]
+    }
+
+    /// A worker's size. All would move in step with a late rating: its kind's largest stands for it.
+    pub(super) fn size(&self, w: &Worker) -> f64 {
+        w.entry.rating.max(self.kinds[w.entry.kind].size)
+    }
+
+    pub(super) fn kind(&self, w: &Worker) -> Kind {
+        let known = self.kinds[w.entry.kind];
+        Kind { slots: known.slots.max(1.0), ..known }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,9 +72,9 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { worker: WorkerId(0), .. })));
 //! ```
 
+mod dispatcher;
 mod interface;
 mod record;
-mod rules;
 
+pub use dispatcher::Dispatcher;
 pub use interface::*;
-pub use rules::Dispatcher;
