Timers that are always due no longer keep requests and sockets waiting

Cause: urgent tasks ran before all others for as long as one of them could run (Tasks::run), and the module's timers are one urgent task that handled whatever was due in one step, without a turn for others (Desk::run_timers). Where the work of timers took longer than the time until the next ones, nothing else ran: no answer, no attempt's deadline, no socket. Changed: at most 8 urgent steps on end while others wait, a turn after each timer, and sockets and the system's timers are looked at after 2 ms of steps, not only after 64 of them.

--- a/engine/src/desk.rs
+++ b/engine/src/desk.rs
@@ -8,7 +8,7 @@
 use crate::responsiveness::Responsiveness;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -138,6 +138,8 @@
                 let lag = self.clock.now().saturating_sub(at);
                 self.responsiveness.longest_timer_lag.note(Duration::from_micros(lag.unsigned_abs()));
                 self.tell(Event::Timer(token));
+                // However many are due, and however soon the next ones are: others must have their turn in between.
+                yield_now().await;
             }
         }
     }
--- a/engine/src/tasks.rs
+++ b/engine/src/tasks.rs
@@ -1,4 +1,4 @@
-//! The one executor, of one thread: urgent tasks go ahead of all others.
+//! The one executor, of one thread: urgent tasks go ahead of all others, but never keep them waiting for long.
 
 use crate::responsiveness::Responsiveness;
 use async_executor::{LocalExecutor, Task};
@@ -6,10 +6,15 @@
 use futures_lite::future::{or, poll_fn, yield_now};
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-/// Ticks of the executor before the sockets are looked at again.
-const TICKS: usize = 64;
+/// Steps of tasks before the sockets and timers of the system are looked at again...
+const STEPS: usize = 64;
+/// ...or so much time, where steps take long: a connection's news and each deadline wait for that look.
+const SLICE: Duration = Duration::from_millis(2);
+/// Urgent steps on end while an ordinary task could run. Urgent work that never ends, such as timers that are always due,
+/// must not keep requests from their answers.
+const URGENT_ON_END: usize = 8;
 
 /// All tasks of one node.
 #[derive(Default)]
@@ -80,15 +85,22 @@
     /// Runs all tasks, for ever.
     pub async fn run(&self) -> std::convert::Infallible {
         loop {
-            for _ in 0..TICKS {
-                while self.step(&self.urgent) {}
-                if self.step(&self.ordinary) {
-                    continue;
+            let slice_ends = Instant::now() + SLICE;
+            for _ in 0..STEPS {
+                for _ in 0..URGENT_ON_END {
+                    if !self.step(&self.urgent) {
+                        break;
+                    }
                 }
-                if self.turns.notify_additional(1) > 0 {
+                if !self.step(&self.ordinary) {
+                    if self.turns.notify_additional(1) > 0 {
+                        break;
+                    }
+                    self.next_step().await;
+                }
+                if Instant::now() >= slice_ends {
                     break;
                 }
-                self.next_step().await;
             }
             // However much there is to do, large bodies go on, if slowly.
             self.turns.notify_additional(1);
