A request looks at the few workers near its key, not at the whole list again and again

Cause: each pick walked all ready workers to find the homes of its key (Dispatcher::nearest from homes), with a logarithm and a sort, and a popular key had hundreds of homes, each weighed twice and searched for in the others. A request that waits for the start of its attempt was picked for again every 75 ms, held ones after each event, and each failed attempt chose the whole set anew with an estimate for every worker (choose_set). A failed attempt only sorts the set out of what is near. Estimates are made for the workers that can be chosen.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -18,7 +18,8 @@
 mod timeouts;
 
 use crate::interface::*;
-use crate::record::{Epc, Keys, Kind, distance};
+use crate::nearest::{Candidate, Snapshot, looked_at};
+use crate::record::{Epc, Keys, Kind};
 use state::{Attempt, Request, Sent, Worker};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -58,6 +59,10 @@
     set_until: Micros,
     shared_timeouts: u32,
     ready: Vec<WorkerId>,
+    snapshot: Snapshot,
+    near: Vec<WorkerId>,
+    near_stale: bool,
+    of_kind: Vec<Vec<WorkerId>>,
     set: Vec<WorkerId>,
     set_stale: bool,
     n: usize,
--- a/src/dispatcher/capacity.rs
+++ b/src/dispatcher/capacity.rs
@@ -26,7 +26,7 @@
         let n = (N_PER_JOB * self.mean_size / self.gap).max(N_LEAST).ceil();
         if n > 1.3 * self.n as f64 || n < 0.7 * self.n as f64 {
             self.n = n as usize;
-            self.set_stale = true;
+            self.near_stale = true;
         }
     }
 
@@ -73,7 +73,11 @@
 
     /// Ranks the workers for a class again if anything that ranks them has changed.
     pub(super) fn rank(&mut self, class: usize, now: Micros) {
-        if std::mem::take(&mut self.set_stale) || now >= self.set_until {
+        let look_over = std::mem::take(&mut self.near_stale) || now >= self.set_until;
+        if look_over {
+            self.look_over_list(now);
+        }
+        if std::mem::take(&mut self.set_stale) || look_over {
             self.choose_set(now);
             self.stale.fill(true);
         }
@@ -84,7 +88,7 @@
         r.sort_unstable();
         self.shared_timeouts = r.get(r.len() / 2).copied().unwrap_or(0);
         let fits = |id: &&WorkerId| self.runs(**id, class);
-        let group = if self.set.iter().any(|id| fits(&id)) { &self.set } else { &self.ready };
+        let group = if self.set.iter().any(|id| fits(&id)) { &self.set } else { &self.of_kind[class] };
         let rated = |&id: &WorkerId| (self.penalised(self.worker(id), class, now), id);
         let mut ranked: Vec<(f64, WorkerId)> = group.iter().filter(fits).map(rated).collect();
         // Equals stay in this one's own order: by number, fresh dispatchers would all have one lane worker.
--- a/src/dispatcher/fleet.rs
+++ b/src/dispatcher/fleet.rs
@@ -39,7 +39,7 @@
         self.ratings = self.ready.iter().map(|&id| self.size(self.worker(id))).sum();
         self.apart = (own as f64 / ZONE).max(1.0);
         self.beyond = (self.apart - LARGE).max(0.0);
-        self.set_stale = true;
+        self.near_stale = true;
     }
 
     pub(super) fn on_entry(&mut self, entry: Entry) {
@@ -65,19 +65,42 @@
         self.kinds[kind].size = self.kinds[kind].size.max(size);
     }
 
+    /// Looks at all workers in the list: which are the nearest to this dispatcher, and how much they weigh.
+    /// Costs more the longer the list is, so it is done only when the list or N has changed, and once in
+    /// [`SET_KEPT`].
+    pub(super) fn look_over_list(&mut self, now: Micros) {
+        let candidate =
+            |&id: &WorkerId| Candidate { id, key: self.worker(id).entry.key, weight: self.weight(id, now) };
+        let candidates: Vec<Candidate> = self.ready.iter().map(candidate).collect();
+        let total: f64 = candidates.iter().map(|candidate| candidate.weight).sum();
+        let n = self.n.min(candidates.len());
+        self.per_weight = n as f64 / total.max(1e-9);
+        self.snapshot = Snapshot::new(candidates);
+        self.near = self.snapshot.nearest(u64::from(self.settings.me) + 1, 3 * n);
+        let runners = looked_at(self.ready.len(), self.ready.len()).max(3 * n);
+        self.of_kind = (0..self.settings.classes.len()).map(|class| self.runners(class, runners)).collect();
+        let known: Vec<WorkerId> = self.near.iter().chain(self.of_kind.iter().flatten()).copied().collect();
+        known.into_iter().for_each(|id| self.estimate(id));
+        self.set_until = now + SET_KEPT;
+    }
+
+    /// Where to go with a class that only one kind of worker runs, if the set has none of those: the nearest
+    /// of that kind.
+    fn runners(&self, class: usize, most: usize) -> Vec<WorkerId> {
+        if self.settings.classes[class].kind.is_none() {
+            return Vec::new();
+        }
+        self.snapshot.nearest_of(u64::from(self.settings.me) + 1, most, |&id| self.runs(id, class))
+    }
+
     /// Chooses the workers that this dispatcher works with: the paper's top N, made narrow. Each one has
     /// its own, more of them the more a worker can do at present. Guards against stale knowledge, many
     /// connections, and all dispatchers at one cold worker. A closed worker takes no place of the N.
     pub(super) fn choose_set(&mut self, now: Micros) {
-        (0..self.ready.len()).for_each(|i| self.estimate(self.ready[i]));
-        let total: f64 = self.ready.iter().map(|&id| self.weight(id, now)).sum();
         let n = self.n.min(self.ready.len());
-        self.per_weight = n as f64 / total.max(1e-9);
-        self.set = self.nearest(u64::from(self.settings.me) + 1, now, 3 * n, |_| true);
         let closed = |&id: &WorkerId| !self.sound(id) || self.worker(id).full.iter().any(|f| f.1 > now);
-        let passed = self.set.iter().take(2 * n).filter(|id| closed(id)).count();
-        self.set.truncate(n + passed);
-        self.set_until = now + SET_KEPT;
+        let passed = self.near.iter().take(2 * n).filter(|id| closed(id)).count();
+        self.set = self.near.iter().take(n + passed).copied().collect();
     }
 
     /// What a worker can do at present beside others, one in another zone less the larger the own is.
@@ -87,28 +110,6 @@
         self.size(w).max(1e-3) * self.warmth(w, now) / apart
     }
 
-    /// Up to `most` workers that take work and `fit`, the nearest to a key first. Few are sorted.
-    pub(super) fn nearest(
-        &self,
-        key: u64,
-        now: Micros,
-        most: usize,
-        fit: impl Fn(&WorkerId) -> bool,
-    ) -> Vec<WorkerId> {
-        let far = |&id: &WorkerId| (distance(key, self.worker(id).entry.key, self.weight(id, now)), id);
-        let mut rest: Vec<(f64, WorkerId)> = self.ready.iter().map(far).collect();
-        let mut near = Vec::new();
-        while near.len() < most && !rest.is_empty() {
-            let nearer = |a: &(f64, WorkerId), b: &(f64, WorkerId)| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1));
-            let others = rest.len().saturating_sub(2 * most);
-            rest.select_nth_unstable_by(others, nearer);
-            let mut some = rest.split_off(others);
-            some.sort_unstable_by(nearer);
-            near.extend(some.into_iter().rev().map(|n| n.1).filter(&fit).take(most - near.len()));
-        }
-        near
-    }
-
     pub(super) fn worker_mut(&mut self, id: WorkerId) -> &mut Worker {
         let i = id.0 as usize;
         self.workers.resize_with(self.workers.len().max(i + 1), Worker::default);
--- a/src/dispatcher/selection.rs
+++ b/src/dispatcher/selection.rs
@@ -18,20 +18,30 @@
     }
 
     /// A key's homes, nearest first, alike in a zone but for their number: as few places as its jobs fill.
-    pub(super) fn homes(&self, r: &Request, now: Micros) -> Vec<WorkerId> {
+    pub(super) fn homes(&mut self, id: RequestId, now: Micros) -> Vec<WorkerId> {
+        let Some(key) = self.requests.get(&id).map(|r| r.key).filter(|key| *key != 0) else {
+            return Vec::new();
+        };
+        let others = self.recent.iter().filter(|&&k| k == key).count().saturating_sub(1);
+        let share = others as f64 / self.recent.len().max(SHARE_HISTORY / 5) as f64;
+        let n = (HOMES * share * self.beyond * ZONE).ceil().max(1.0) as usize;
+        let (order, is_new) = self.snapshot.homes(key, n, u64::from(self.settings.me) + 1);
+        let order = order.to_vec();
+        if is_new {
+            order.iter().for_each(|&worker| self.estimate(worker));
+        }
+        let Some(r) = self.requests.get(&id) else { return Vec::new() };
         let fit = |&w: &WorkerId| {
             self.sound(w) && self.takes(w, r.class, now) && self.may_send(r, w, now) && !r.tried.contains(&w)
         };
-        let others = self.recent.iter().filter(|&&k| k == r.key).count().saturating_sub(1);
-        let share = others as f64 / self.recent.len().max(SHARE_HISTORY / 5) as f64;
-        let n = (HOMES * share * self.beyond * ZONE).ceil().max(1.0);
-        self.nearest(r.key, now, if r.key == 0 { 0 } else { n as usize }, fit)
+        order.into_iter().filter(fit).take(looked_at(n, self.ready.len())).collect()
     }
 
     /// Picks the worker for a request, or none if it is better held.
     pub(super) fn pick(&mut self, id: RequestId, now: Micros) -> Option<WorkerId> {
         let (class, draw) = (self.requests.get(&id)?.class, self.rng.f64());
         self.rank(class, now);
+        let homes = self.homes(id, now);
         let r = self.requests.get(&id)?;
         let order = self.order[class].iter().copied();
         let legal: Vec<WorkerId> = order.filter(|&w| self.may_send(r, w, now)).collect();
@@ -54,7 +64,6 @@
         let n = top.len();
         let rival = *top.get((draw * n as f64) as usize)?;
         let lane = top[n - 1 - self.lane(r, n)];
-        let homes = self.homes(r, now);
         let spared = HOME_HAS * self.beyond / self.apart * FETCH * self.mean_size;
         let has = |w| homes.contains(&w) && !self.worker(w).keys.holds(r.key);
         let ends = |w| self.ends(r, w, now) - if has(w) { spared } else { 0.0 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 
 mod dispatcher;
 mod interface;
+mod nearest;
 mod record;
 
 pub use dispatcher::Dispatcher;
--- a/src/record.rs
+++ b/src/record.rs
@@ -60,14 +60,3 @@
         self.0.contains(&key)
     }
 }
-
-/// How far a worker of this size is from a key, the same at every dispatcher: rendezvous hashing, where the
-/// nearest worker of all gets the key, and each gets keys in proportion to its size.
-pub fn distance(key: u64, worker: u64, size: f64) -> f64 {
-    let mut x = key ^ worker.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    for _ in 0..2 {
-        x = (x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    }
-    let draw = ((x >> 11) + 1) as f64 / (1u64 << 53) as f64;
-    -draw.ln() / size.max(1e-6)
-}
