Failing test: a request whose message is lost is never answered and never closed

Found while the incident's candidates were gone through (a task that waits for a message nobody sends): Order::unsendable waits for as long as the client's connection has ended and its leave was not told, outside of any deadline in begin. Its request then has no answer, stays open, and a process that is told to end waits for it for ever.

--- a/engine/src/counters.rs
+++ b/engine/src/counters.rs
@@ -60,6 +60,8 @@
     pub responsiveness: Rc<Responsiveness>,
     /// Answers given after their request's deadline.
     pub answered_late: Count,
+    /// Requests that nothing had answered some time after their deadline, answered by that alone.
+    pub answered_by_guard: Count,
     outcomes: [Count; 9],
 }
 
@@ -176,6 +178,7 @@
             ("watches_broken", self.watches_broken.get()),
             ("invariant_violations", self.invariants.total()),
             ("answered_late", self.answered_late.get()),
+            ("answered_by_guard", self.answered_by_guard.get()),
             ("long_steps", self.responsiveness.long_steps.get()),
             ("longest_step_us", self.responsiveness.longest_step.micros()),
             ("longest_timer_lag_us", self.responsiveness.longest_timer_lag.micros()),
--- /dev/null
+++ b/engine/src/tests/guard.rs
@@ -0,0 +1,51 @@
+//! A request's own deadline: it has its answer even where whatever should have brought that never does.
+
+use super::shared;
+use crate::job::{Answer, Job};
+use sorrelhaven_wire::{Link, by};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// An attempt waits for its client's leave to be told, and nobody tells it: a message that is lost must not hold the
+/// request, and with it the end of the process, for ever.
+#[test]
+fn a_request_whose_message_is_lost_is_answered_and_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let engine = shared::engine(listener.local_addr().expect("its address"));
+    let at = engine.clone();
+    engine.tasks.spawn_urgent(async move { at.desk.run_timers().await });
+    let clients = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let client = TcpStream::connect(clients.local_addr().expect("its address")).expect("a client");
+    let (accepted, _) = clients.accept().expect("its connection");
+    let link = async_io::block_on(Link::accepted(accepted)).expect("a place in the event loop");
+    // The client has gone, and nobody reads from its connection.
+    drop(client);
+    let due = engine.desk.clock.now() + 200_000;
+    let parcel = shared::parcel(&engine, "/api", b"body");
+    let job = Job {
+        class: 0,
+        due,
+        hint: Some(50_000),
+        width: 1.0,
+        resent: false,
+        key: 0,
+        sendable: true,
+        place: None,
+        client: Some(link.end_probe()),
+        parcel,
+    };
+    let ticket = engine.take(job).expect("no other has its id");
+    let limit = Instant::now() + Duration::from_secs(2);
+    let answer = shared::run(&engine, by(limit, ticket.answer()));
+    assert_eq!(answer, Some(Some(Answer::Failed)), "no answer by its deadline");
+    let closed = shared::run(
+        &engine,
+        by(limit, async {
+            while engine.desk.open_requests() > 0 {
+                futures_lite::future::yield_now().await;
+            }
+        }),
+    );
+    assert!(closed.is_some(), "the request is still open");
+    assert_eq!(engine.counters.answered_by_guard.get(), 1);
+}
--- a/engine/src/tests/mod.rs
+++ b/engine/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod births;
 mod endings;
+mod guard;
 mod invariants;
 mod load;
 mod places;
