A request keeps its own deadline: 0.1 s after it, nothing else is waited for

Cause: a request's answer came from the module alone, on the end of an attempt or a timer; where such a message is lost (here: an attempt that waits for its client's leave to be told, with no bound) nothing ever answered. Each request's task holds one timer of its own now; 0.1 s past the deadline it answers as failed, tells the module that the request is over, and withdraws what is out. Counted (answered_by_guard) and logged with the id: it acts only where something else failed.

--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -13,12 +13,18 @@
 use crate::ways::Ways;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
+use async_io::Timer;
+use futures_lite::future::or;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use stepusher::{Arrival, Event, Micros, RequestId, WorkerId};
-use tracing::debug;
+use tracing::{debug, warn};
+
+/// A request that nothing has answered so long after its deadline is answered by that alone. Attempts end at the deadline
+/// by themselves and the module answers on that, so this acts only where a message or a wake-up was lost.
+const ANSWER_GUARD: Duration = Duration::from_millis(100);
 
 /// An execution that has not ended.
 struct Execution {
@@ -28,6 +34,14 @@
     task: Task<()>,
 }
 
+/// What a request's task waits for.
+enum Wake {
+    /// A message of the module, an attempt or the front.
+    Message(Mail),
+    /// Its deadline passed some time ago.
+    Overdue,
+}
+
 /// A request on its way, as the front sees it.
 pub struct Ticket {
     mail: Sender<Mail>,
@@ -126,8 +140,22 @@
         }));
         // A request is over when it has its answer and every execution its outcome, also one that the module has asked
         // for and that is still in the box: without it the module would count on that execution for ever.
+        let mut guard = Timer::at(self.requests.desk.clock.instant(due) + ANSWER_GUARD);
         while !(self.fate.over.get() && self.executions.is_empty() && inbox.is_empty()) {
-            let Ok(mail) = inbox.recv().await else { break };
+            let message = async { inbox.recv().await.ok().map(Wake::Message) };
+            let overdue = async {
+                (&mut guard).await;
+                Some(Wake::Overdue)
+            };
+            let Some(wake) = or(message, overdue).await else { break };
+            let mail = match wake {
+                Wake::Message(mail) => mail,
+                Wake::Overdue => {
+                    guard.clear();
+                    self.answer_overdue();
+                    continue;
+                }
+            };
             match mail {
                 Mail::Send { worker, deadline, before } => {
                     let attempt = attempts;
@@ -221,6 +249,20 @@
         self.requests.desk.tell(Event::Outcome { request, attempt, worker, outcome, took, closed, report });
     }
 
+    /// Answers a request for which nothing else did, and has the module withdraw what is still out for it.
+    fn answer_overdue(&mut self) {
+        if self.fate.over.get() {
+            return;
+        }
+        let attempts = self.executions.len();
+        warn!(id = %self.name, attempts, "a request past its deadline had no answer");
+        self.requests.counters.answered_by_guard.add();
+        self.answer(Answer::Failed);
+        self.requests.desk.tell(Event::Lapsed(self.id));
+        let out: Vec<u32> = self.executions.keys().copied().collect();
+        out.into_iter().for_each(|attempt| self.ended(attempt, Ending::Withdrawn, Vec::new()));
+    }
+
     /// Gives the client its one answer.
     fn answer(&mut self, answer: Answer) {
         if !self.fate.over.replace(true) {
