Soak: three thousand listed executors, releases, executors that hang, a popular key

A list has 3,000 entries for the same few processes now; discovery tells changes after the first whole list; half of the list is replaced within 0.5 to 4 s in a release, executors fall silent and reset later, and a fifth of the requests are about one object.

--- a/lab/soak/src/client.rs
+++ b/lab/soak/src/client.rs
@@ -38,6 +38,8 @@
         let mut ask = Ask::new(&id, CLASSES[rng.usize(0..CLASSES.len())], vec![b'x'; length]);
         ask.patience = Duration::from_millis([40, 300, 1_000, 2_500][rng.usize(0..4)]);
         ask.hint = Some(5_000);
+        // A fifth of the requests are about one object.
+        ask.affinity = Some(if rng.u8(0..5) == 0 { "popular".to_string() } else { rng.u32(..).to_string() });
         match rng.u8(0..20) {
             0 => leaves(place, shared, &ask, &mut rng),
             1 => nonsense(place, &mut rng),
@@ -64,6 +66,8 @@
             }
             (!reply.close).then_some(stream)
         }
+        // What a killed process had read may have run: it is not sent again, for it may be one that must not run twice.
+        Err(_) if place.was_killed(&life) => None,
         // A close between requests that crosses this one: it is sent once more on a new connection.
         Err(error) if was_resting && error.kind() != ErrorKind::WouldBlock => {
             let again = TcpStream::connect(place.life().address).ok()?;
--- a/lab/soak/src/fleet.rs
+++ b/lab/soak/src/fleet.rs
@@ -64,6 +64,11 @@
         lives.ended[number] = Some(ended);
     }
 
+    /// Whether this process was killed.
+    pub fn was_killed(&self, life: &Life) -> bool {
+        matches!(self.lives().ended[life.number], Some(Ended::Killed))
+    }
+
     /// Whether a process may have closed a connection without an answer on which a request was begun then: it was killed,
     /// or told to end `door` before.
     pub fn may_close(&self, life: &Life, begun: Instant, door: Duration) -> bool {
@@ -167,11 +172,24 @@
             Trouble::Born(executor) => discovery.born(executor),
             Trouble::DiscoverySilent(ms) => discovery.silent(Duration::from_millis(ms)),
             Trouble::DiscoveryResets => discovery.reset(),
+            Trouble::Release(ms) => discovery.release(Duration::from_millis(ms)),
+            Trouble::Hang(executor, ms) => hang(executors, executor, Duration::from_millis(ms)),
             Trouble::Script(acts) => executors.script(&acts),
         }
     }
 }
 
+/// An executor says nothing for so long to the requests that it takes, and resets their connections then.
+fn hang(executors: &Boxes, executor: usize, lasts: Duration) {
+    let silent = Act::SilentThenReset(lasts.as_millis() as u64);
+    executors.usual_at(executor, Some(silent));
+    let executors = executors.clone();
+    thread::spawn(move || {
+        thread::sleep(lasts);
+        executors.usual_at(executor, None);
+    });
+}
+
 /// The settings of one node of the fleet.
 fn config(number: usize, nodes: usize, proxies: &[Proxy], discovery: SocketAddr) -> String {
     let addresses: Vec<SocketAddr> = proxies.iter().map(|proxy| proxy.address).collect();
@@ -187,7 +205,8 @@
     let executors = Boxes::new(size.executors);
     executors.usual(Act::Takes(5));
     let proxies: Vec<Proxy> = executors.addresses.iter().map(|address| Proxy::new(*address)).collect();
-    let discovery = Discovery::new(proxies.iter().map(|proxy| proxy.address));
+    let discovery =
+        Discovery::new(&proxies.iter().map(|proxy| proxy.address).collect::<Vec<_>>(), size.entries);
     let configs = (0..size.nodes).map(|n| config(n, size.nodes, &proxies, discovery.address)).collect();
     let mut fleet = Fleet {
         program,
