--- a/lab/soak/src/fleet.rs
+++ b/lab/soak/src/fleet.rs
@@ -16,6 +16,10 @@
 /// Clients of each node.
 const CLIENTS: usize = 3;
 
+/// Descriptors of each node. Entries by the thousand have a connection each, so that nodes run short of them; what the
+/// fakes need beside stays within one process.
+const SOCKETS: usize = 96;
+
 /// One process in a node's place.
 #[derive(Clone)]
 pub struct Life {
@@ -196,6 +200,7 @@
     boxes_file(&addresses)
         .replace("127.0.0.1:1\"", &format!("{discovery}\""))
         .replace("\"balancers\":1", &format!("\"balancers\":{nodes},\"me\":{number}"))
+        .replace("\"sockets\":1024", &format!("\"sockets\":{SOCKETS}"))
         .replace("\"seed\":\"1f\"", &format!("\"seed\":\"{number:x}f\""))
 }
 
