--- a/engine/src/tests/shared.rs
+++ b/engine/src/tests/shared.rs
@@ -1,14 +1,16 @@
 //! What the tests of the engine share: one in this thread.
 
 use crate::execution::Order;
+use crate::job::Job;
 use crate::{Engine, Parcel};
 use futures_lite::future::or;
 use sorrelhaven_bodies::End;
 use sorrelhaven_config::Config;
+use sorrelhaven_wire::EndProbe;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use stepusher::WorkerId;
+use stepusher::{Micros, WorkerId};
 
 /// An engine that knows one executor, `s-1` at `dial`.
 pub fn engine(dial: SocketAddr) -> Rc<Engine> {
@@ -33,6 +35,22 @@
     }
 }
 
+/// A job of the first class with this parcel, whose client gives up at `due`.
+pub fn job(parcel: Parcel, due: Micros, client: Option<EndProbe>) -> Job {
+    Job {
+        class: 0,
+        due,
+        hint: Some(50_000),
+        width: 1.0,
+        resent: false,
+        key: 0,
+        sendable: true,
+        place: None,
+        client,
+        parcel,
+    }
+}
+
 /// Runs the engine's tasks until `work` is done.
 pub fn run<T>(engine: &Rc<Engine>, work: impl Future<Output = T>) -> T {
     async_io::block_on(or(work, async { match engine.tasks.run().await {} }))
