A test of broken bodies waits until the boxes have both heads, before the clients go

It waited for sent=2, which counts attempts that have begun; the clients could go before the second one had written its head, and then a box rightly saw nothing. Signals that are read sooner likely made it frequent; the test was not run on the code before, so that is not proven.

--- a/node/tests/bodies.rs
+++ b/node/tests/bodies.rs
@@ -367,7 +367,7 @@
         clients.push(stream);
     }
     let until = Instant::now() + Duration::from_secs(5);
-    while node.figure("file_bytes") < 100 * KIB as u64 || node.figure("sent") < 2 {
+    while node.figure("file_bytes") < 100 * KIB as u64 || node.figure("sent") < 2 || site.boxes.begun() < 2 {
         assert!(Instant::now() < until, "the bodies have not come");
     }
     drop(clients);
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -66,6 +66,7 @@
     usual: Option<Act>,
     usual_at: HashMap<usize, Act>,
     runs: Vec<Run>,
+    begun: usize,
     broken: usize,
     released: bool,
 }
@@ -160,6 +161,11 @@
         self.shared().runs.iter().filter(|r| r.id == id).cloned().collect()
     }
 
+    /// Requests whose head has come.
+    pub fn begun(&self) -> usize {
+        self.shared().begun
+    }
+
     /// Requests that ended before they were whole.
     pub fn broken(&self) -> usize {
         self.shared().broken
@@ -174,6 +180,7 @@
             // The script goes by the order in which requests come.
             let act = {
                 let mut shared = self.shared();
+                shared.begun += 1;
                 let usual = shared.usual_at.get(&at).copied().or(shared.usual).unwrap_or(Act::Done);
                 shared.script.pop_front().unwrap_or(usual)
             };
