--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -110,6 +110,8 @@
             class: "slab".into(),
             block: (number / 2) as u64,
             health: "in_service",
+            share: 1.0,
+            born_ms: 0,
         });
         executors.push(executor);
     }
--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 use std::fs::{self, File};
-use std::io::{self, BufRead, BufReader, Read as _, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
@@ -122,13 +122,13 @@
         let mut body = Vec::new();
         if let Some(length) = self.get("Content-Length") {
             body.resize(length.parse().map_err(|_| io::ErrorKind::InvalidData)?, 0);
-            reader.read_exact(&mut body)?;
+            io::Read::read_exact(reader, &mut body)?;
         } else if self.get("Transfer-Encoding").is_some() {
             loop {
                 let line = read_line(reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
                 let size = usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
                 let mut chunk = vec![0; size + 2];
-                reader.read_exact(&mut chunk)?;
+                io::Read::read_exact(reader, &mut chunk)?;
                 if size == 0 {
                     break;
                 }
@@ -357,10 +357,13 @@
 pub struct Executor {
     pub name: String,
     pub address: SocketAddr,
-    gone: Arc<AtomicBool>,
+    gone: Mutex<Arc<AtomicBool>>,
     open: Arc<Mutex<HashMap<u64, TcpStream>>>,
+    handler: Handler,
 }
 
+type Handler = Arc<dyn Fn(&Request, &mut TcpStream) -> bool + Send + Sync>;
+
 impl Executor {
     pub fn start<H>(name: &str, handler: H) -> Executor
     where
@@ -368,35 +371,51 @@
     {
         let (listener, address) = listen();
         let gone = Arc::new(AtomicBool::new(false));
-        let open: Arc<Mutex<HashMap<u64, TcpStream>>> = Arc::default();
-        let executor = Executor { name: name.to_string(), address, gone: gone.clone(), open: open.clone() };
-        let handler = Arc::new(handler);
+        let executor = Executor {
+            name: name.to_string(),
+            address,
+            gone: Mutex::new(gone.clone()),
+            open: Arc::default(),
+            handler: Arc::new(handler),
+        };
+        executor.accept(listener, gone);
+        executor
+    }
+    fn accept(&self, listener: TcpListener, gone: Arc<AtomicBool>) {
+        let (open, handler) = (self.open.clone(), self.handler.clone());
         thread::spawn(move || {
-            let next = AtomicU64::new(0);
+            static NEXT: AtomicU64 = AtomicU64::new(0);
             listener.set_nonblocking(true).unwrap();
             while !gone.load(Ordering::SeqCst) {
                 match listener.accept() {
                     Ok((stream, _)) => {
                         stream.set_nonblocking(false).unwrap();
                         let _ = stream.set_nodelay(true);
-                        let number = next.fetch_add(1, Ordering::SeqCst);
+                        let number = NEXT.fetch_add(1, Ordering::SeqCst);
                         open.lock().unwrap().insert(number, stream.try_clone().unwrap());
                         let (open, handler) = (open.clone(), handler.clone());
-                        thread::spawn(move || {
+                        let serve = move || {
                             serve_executor_connection(stream, &*handler);
                             open.lock().unwrap().remove(&number);
-                        });
+                        };
+                        let _ = thread::Builder::new().stack_size(256 * 1024).spawn(serve);
                     }
                     Err(_) => thread::sleep(Duration::from_micros(300)),
                 }
             }
             drop(listener);
         });
-        executor
+    }
+    /// The process starts again at the same address.
+    pub fn restart(&self) {
+        let listener = TcpListener::bind(self.address).unwrap_or_else(|error| cannot_run(&error.to_string()));
+        let gone = Arc::new(AtomicBool::new(false));
+        *self.gone.lock().unwrap() = gone.clone();
+        self.accept(listener, gone);
     }
     /// The process dies: its connections are reset, and new ones are refused.
     pub fn die(&self) {
-        self.gone.store(true, Ordering::SeqCst);
+        self.gone.lock().unwrap().store(true, Ordering::SeqCst);
         sleep_ms(5);
         for (_, stream) in self.open.lock().unwrap().drain() {
             reset_on_close(&stream);
@@ -445,13 +464,15 @@
     pub class: String,
     pub block: u64,
     pub health: &'static str,
+    pub share: f64,
+    pub born_ms: u64,
 }
 
 impl Host {
     pub fn json(&self) -> String {
         format!(
-            "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{}\",\"class\":\"{}\",\"block\":{},\"health\":\"{}\",\"share\":1.0,\"born_ms\":0}}",
-            self.name, self.dial, self.site, self.class, self.block, self.health
+            "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{}\",\"class\":\"{}\",\"block\":{},\"health\":\"{}\",\"share\":{:.1},\"born_ms\":{}}}",
+            self.name, self.dial, self.site, self.class, self.block, self.health, self.share, self.born_ms
         )
     }
 }
@@ -534,6 +555,14 @@
         state.hosts.retain(|host| host.health != "terminated");
         state.changes.push(changed);
     }
+    /// A new entry, or one that is back.
+    pub fn add(&self, host: Host) {
+        let mut state = self.state.lock().unwrap();
+        let entry = host.json();
+        state.hosts.retain(|known| known.name != host.name);
+        state.hosts.push(host);
+        state.changes.push(vec![entry]);
+    }
     pub fn version(&self) -> u64 {
         self.state.lock().unwrap().changes.len() as u64
     }
