--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -37,6 +37,8 @@
 impl Record {
     pub fn open(path: &str) -> Arc<Record> {
         now_us();
+        // A fault of a stand-in is no result.
+        std::panic::set_hook(Box::new(|info| cannot_run(&info.to_string())));
         let file = File::create(path).unwrap_or_else(|error| cannot_run(&format!("{path}: {error}")));
         Arc::new(Record(Mutex::new(io::BufWriter::new(file))))
     }
@@ -181,7 +183,7 @@
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
 fn stop_children() {
-    let mut children = CHILDREN.lock().unwrap();
+    let mut children = CHILDREN.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     for child in children.iter_mut() {
         let _ = child.kill();
         let _ = child.wait();
@@ -203,6 +205,18 @@
     line.split('"').nth(1).unwrap_or_else(|| cannot_run("no run command")).to_string()
 }
 
+/// Asks the system to kill this process when its parent ends.
+fn end_with_parent() -> io::Result<()> {
+    unsafe extern "C" {
+        fn prctl(option: i32, argument: u64) -> i32;
+    }
+    // PR_SET_PDEATHSIG, SIGKILL on Linux.
+    match unsafe { prctl(1, 9) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 pub struct Node {
     pub name: String,
     pub address: SocketAddr,
@@ -222,7 +236,10 @@
         fs::create_dir_all(&temporary).unwrap();
         let log = folder.join(format!("{name}.log"));
         let output = File::create(&log).unwrap();
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // The node ends with this program, however that ends.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .args(["-c", &run_command()])
             .current_dir(root())
             .env("RELAY_CONFIG", &config_path)
@@ -233,7 +250,6 @@
             .stdin(Stdio::null())
             .stdout(output.try_clone().unwrap())
             .stderr(output)
-            .process_group(0)
             .spawn()
             .unwrap_or_else(|error| cannot_run(&format!("node: {error}")));
         let pid = child.id();
