Log sends to workers in slow start with the estimates behind them, and count such workers

What may be sent to a worker in slow start rests on four estimates: the worker's capacity, the number of nodes that use it, this node's budget, and what of it is used. Neither logs nor metrics showed any of them, so the causes of an overload could not be told apart.

No decision has changed.

--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -72,6 +72,8 @@
     pub known_workers: u64,
     /// Workers in the worker list that get no new work at present; shown as `skipped_executors`.
     pub unavailable_workers: u64,
+    /// Workers that accept new work and are in slow start; shown as `slow_start_executors`.
+    pub workers_in_slow_start: u64,
     /// The number of violations that were found at run time, for each invariant by name.
     pub invariant_violations: Vec<(&'static str, u64)>,
     /// The longest step of the event loop (one poll of one task), in microseconds.
@@ -120,12 +122,13 @@
     }
 
     /// The metrics of the node as a whole, in the order in which they are shown.
-    fn node_metrics(&self) -> [Metric; 8] {
+    fn node_metrics(&self) -> [Metric; 9] {
         [
             Metric::counter("upstream_tries", self.attempts_written),
             Metric::gauge("in_progress", self.in_progress),
             Metric::gauge("known_executors", self.known_workers),
             Metric::gauge("skipped_executors", self.unavailable_workers),
+            Metric::gauge("slow_start_executors", self.workers_in_slow_start),
             Metric::gauge("longest_step_us", self.longest_step_us),
             Metric::gauge("longest_timer_lag_us", self.longest_timer_lag_us),
             Metric::counter("long_steps", self.long_steps),
--- a/crates/admin/src/service.rs
+++ b/crates/admin/src/service.rs
@@ -50,6 +50,7 @@
             in_progress: counters.in_progress(),
             known_workers: workers.known,
             unavailable_workers: workers.unavailable(),
+            workers_in_slow_start: self.engine.dispatcher_loop.workers_in_slow_start(),
             invariant_violations: counters.invariants.counts().collect(),
             longest_step_us: counters.responsiveness.longest_step.as_micros(),
             longest_timer_lag_us: counters.responsiveness.longest_timer_lag.as_micros(),
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -50,7 +50,8 @@
 mod worker_table;
 
 use crate::interface::{
-    Action, Class, Event, Lifecycle, Micros, RequestId, Settings, WorkerCounts, WorkerId, WorkerStatus,
+    Action, Class, Event, Lifecycle, Micros, RequestId, Settings, SlowStartStatus, WorkerCounts, WorkerId,
+    WorkerStatus,
 };
 use affinity::AffinityIndex;
 use arrival_statistics::ArrivalStatistics;
@@ -201,6 +202,18 @@
             .collect()
     }
 
+    /// Returns the estimates for a worker that the host has named; `None` outside slow start.
+    pub fn slow_start_status(&self, worker: WorkerId, now: Micros) -> Option<SlowStartStatus> {
+        self.context().slow_start_status(worker, now)
+    }
+
+    /// Returns the number of workers that accept new work and are in slow start at `now`.
+    pub fn workers_in_slow_start(&self, now: Micros) -> u64 {
+        let context = self.context();
+        let in_slow_start = |id: &&WorkerId| context.capacity_fraction(self.workers.get(**id), now) < 1.0;
+        self.workers.ready().iter().filter(in_slow_start).count() as u64
+    }
+
     fn worker_status(&self, id: WorkerId, now: Micros) -> WorkerStatus {
         let context = self.context();
         let worker = self.workers.get(id);
--- a/crates/dispatcher/src/dispatcher/slow_start.rs
+++ b/crates/dispatcher/src/dispatcher/slow_start.rs
@@ -6,7 +6,7 @@
 use crate::dispatcher::attempt::START_GRACE;
 use crate::dispatcher::context::DecisionContext;
 use crate::dispatcher::request::Request;
-use crate::interface::{Micros, SlowStartRules, WorkerId};
+use crate::interface::{Micros, SlowStartRules, SlowStartStatus, WorkerId};
 
 /// Fraction of the permitted work that is used, before [`FEW_USERS_DEDUCTION`]. The rest is a reserve: work
 /// hints are inaccurate, and the sends of other dispatchers are unknown.
@@ -62,6 +62,8 @@
     capacity: f64,
     /// This dispatcher's share of the work that all dispatchers may send.
     share: f64,
+    /// Expected number of dispatchers that use the worker.
+    expected_users: f64,
 }
 
 impl DecisionContext<'_> {
@@ -124,6 +126,22 @@
         SlowStartRate {
             capacity,
             share: capacity * self.settings.slow_start.overload_factor * share / expected_users,
+            expected_users,
         }
     }
+
+    /// Returns the estimates on which the limit of a worker is based; `None` outside slow start.
+    pub(super) fn slow_start_status(&self, id: WorkerId, now: Micros) -> Option<SlowStartStatus> {
+        if self.capacity_fraction(self.workers.get(id), now) >= 1.0 {
+            return None;
+        }
+        let rate = self.slow_start_rate(id, now);
+        Some(SlowStartStatus {
+            capacity: rate.capacity,
+            expected_users: rate.expected_users,
+            budget: rate.share * self.settings.slow_start.overload_window as f64,
+            used: self.slow_start_debt(id, now).max(0.0),
+            subset_size: self.subset.members().len(),
+        })
+    }
 }
--- a/crates/dispatcher/src/interface.rs
+++ b/crates/dispatcher/src/interface.rs
@@ -1,4 +1,4 @@
-//! The types that a dispatcher and its host exchange: settings, events, actions and status counts.
+//! The types that a dispatcher and its host exchange: settings, events, actions and status.
 //!
 //! They are plain data, independent of how they are transported. All times are in microseconds on one clock.
 
@@ -15,5 +15,5 @@
 pub use settings::{
     Class, DedupScope, Idempotency, Limits, Penalties, ReportFields, Settings, SlowStartRules,
 };
-pub use status::{WorkerCounts, WorkerStatus};
+pub use status::{SlowStartStatus, WorkerCounts, WorkerStatus};
 pub use worker_list::{Lifecycle, WorkerEntry, WorkerListUpdate};
--- a/crates/dispatcher/src/interface/status.rs
+++ b/crates/dispatcher/src/interface/status.rs
@@ -1,4 +1,4 @@
-//! Status of the workers as a dispatcher sees them, for metrics.
+//! Status of the workers as a dispatcher sees them, for metrics and logs.
 
 /// Status of a worker in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +13,22 @@
     Saturated,
 }
 
+/// What a dispatcher assumes of a worker in slow start, and what it has sent. Work is running time on a
+/// standard core.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStartStatus {
+    /// Estimated current capacity of the worker, in standard cores.
+    pub capacity: f64,
+    /// Expected number of dispatchers that use the worker, this one included.
+    pub expected_users: f64,
+    /// Work that this dispatcher may send within the overload window, in microseconds.
+    pub budget: f64,
+    /// Work that counts against the budget at present, in microseconds.
+    pub used: f64,
+    /// Number of workers in this dispatcher's subset.
+    pub subset_size: usize,
+}
+
 /// Number of workers in the list by status.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkerCounts {
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -78,6 +78,6 @@
 pub use dispatcher::Dispatcher;
 pub use interface::{
     Action, Arrival, Class, DedupScope, Event, Idempotency, Lifecycle, Limits, Micros, Outcome, Penalties,
-    ReportFields, RequestId, Settings, SlowStartRules, WorkerCounts, WorkerEntry, WorkerId, WorkerListUpdate,
-    WorkerStatus,
+    ReportFields, RequestId, Settings, SlowStartRules, SlowStartStatus, WorkerCounts, WorkerEntry, WorkerId,
+    WorkerListUpdate, WorkerStatus,
 };
--- a/crates/engine/src/dispatcher_loop.rs
+++ b/crates/engine/src/dispatcher_loop.rs
@@ -17,7 +17,10 @@
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tracing::{debug, info, warn};
+use tracing::{Level, debug, enabled, info, warn};
+
+/// Target of the log lines about sends to workers in slow start.
+const SLOW_START_TARGET: &str = "slow_start";
 
 /// A timer as the dispatcher sets it.
 struct NewTimer {
@@ -105,6 +108,11 @@
         self.state.borrow().dispatcher.worker_counts(self.clock.now())
     }
 
+    /// The number of workers in slow start that accept new work.
+    pub fn workers_in_slow_start(&self) -> u64 {
+        self.state.borrow().dispatcher.workers_in_slow_start(self.clock.now())
+    }
+
     /// Passes an event to the dispatcher and routes the resulting actions.
     pub fn dispatch(&self, event: Event) {
         let now = self.clock.now();
@@ -116,6 +124,7 @@
         self.responsiveness.record_part(event_name, started);
         for action in state.actions.drain(..) {
             debug!(?action, "action");
+            log_slow_start(&state.dispatcher, now, &action);
             self.route_action(&state.requests, now, action);
         }
     }
@@ -195,6 +204,24 @@
     }
 }
 
+/// Logs a send to a worker in slow start with the estimates that permitted it, at debug level.
+fn log_slow_start(dispatcher: &Dispatcher, now: Micros, action: &Action) {
+    if !enabled!(target: SLOW_START_TARGET, Level::DEBUG) {
+        return;
+    }
+    if let Action::Send { request, worker, .. } = action
+        && let Some(status) = dispatcher.slow_start_status(*worker, now)
+    {
+        debug!(
+            target: SLOW_START_TARGET,
+            request = request.0,
+            worker = worker.0,
+            ?status,
+            "sent in slow start"
+        );
+    }
+}
+
 /// The name of an event in the log of slow event loop steps.
 fn event_name(event: &Event) -> &'static str {
     match event {
