Keep the work that all nodes send to a cold worker under its limit while others reject

Cause: while workers reject requests, each node replaces them, in its subset (WorkerSubset::choose_members) and in affinity sets (Dispatcher::affinity_set), by workers that don't: those that have just started. slow_start_rate gave each node a part of the budget as if only the nodes with the worker in a subset of eight used it, and computed too few of these (linear in the weight). Besides, capacity was taken from arrivals, which a burst raises over what workers can do; and the debt that decays while it is used let a node send its part of a window twice within one.

Fix: a worker in slow start replaces no other one; it gets ordinary requests from nodes that have it among their nearest workers, and from others those of its own keys. The number of these nodes comes from the distribution of distances, with its deviation. Capacity is what workers outside slow start serve per unit of weight, what the slots can do at least. Sent work counts for a whole window; a job beyond a node's share goes in random slots. So the expected sum of all shares stays under the budget whatever the other workers do and however much arrives.

--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -10,7 +10,8 @@
 //!
 //! - Workers: `worker_list` applies updates of the list. `worker_table`, `worker` and `machine_kind` hold the
 //!   state of the workers, which `observations`, `worker_evidence`, `capacity` and `health` derive from start
-//!   notices, outcomes and load reports. `slow_start` limits the work for new processes.
+//!   notices, outcomes and load reports. `slow_start` and `slow_start_usage` limit the work for new
+//!   processes, by what `throughput` says of the others.
 //! - Choice of a worker: `subset` and `ranking` reduce the worker list, `affinity` adds the workers of an
 //!   affinity key, `selection` compares them by `prediction` and uses only those that `permission` allows.
 //!   All of them read the state through `context`.
@@ -43,7 +44,9 @@
 mod retry_budget;
 mod selection;
 mod slow_start;
+mod slow_start_usage;
 mod subset;
+mod throughput;
 mod worker;
 mod worker_evidence;
 mod worker_list;
@@ -67,6 +70,7 @@
 use retry_budget::RetryBudget;
 use std::collections::BTreeMap;
 use subset::WorkerSubset;
+use throughput::Throughput;
 use worker_table::WorkerTable;
 
 /// Token of the timer for the next check of a request.
@@ -85,6 +89,7 @@
     arrivals: ArrivalStatistics,
     affinity: AffinityIndex,
     subset: WorkerSubset,
+    throughput: Throughput,
     ranking: Ranking,
     requests: BTreeMap<RequestId, Request>,
     pending: PendingQueue,
@@ -134,7 +139,7 @@
 
     fn route(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::WorkerList(update) => self.on_worker_list(update, actions),
+            Event::WorkerList(update) => self.on_worker_list(now, update, actions),
             Event::Arrival(arrival) => self.on_arrival(now, &arrival, actions),
             Event::AttemptStarted { request, attempt, worker } => {
                 self.on_attempt_started(now, AttemptId { request, number: attempt, worker });
@@ -190,6 +195,7 @@
             health: &self.health,
             arrivals: &self.arrivals,
             subset: &self.subset,
+            throughput: &self.throughput,
         }
     }
 
--- a/crates/dispatcher/src/dispatcher/affinity.rs
+++ b/crates/dispatcher/src/dispatcher/affinity.rs
@@ -67,9 +67,9 @@
 
 impl Dispatcher {
     /// Returns the members of the affinity set to which the request may be sent now, the nearest first. The
-    /// set is as small as the key's share of the load permits. All dispatchers of a zone take it from the
-    /// same order of workers, except that each uses its own part of a large set
-    /// ([`Snapshot::affinity_order`]).
+    /// set is as small as the key's share of the load permits; the next workers replace those that are not
+    /// eligible. All dispatchers of a zone take it from the same order of workers, except that each uses its
+    /// own part of a large set ([`Snapshot::affinity_order`]).
     pub(super) fn affinity_set(&mut self, request: RequestId, now: Micros) -> Vec<WorkerId> {
         let Some(request) = self.requests.get(&request).filter(|request| request.affinity_key != 0) else {
             return Vec::new();
@@ -86,8 +86,11 @@
         }
         let order = order.workers.to_vec();
         let limit = limit_choices(set_size, self.workers.ready().len());
-        let is_eligible = |&worker: &WorkerId| self.is_eligible_member(request, worker, now);
-        order.into_iter().filter(is_eligible).take(limit).collect()
+        let in_set = order.iter().take(set_size);
+        let replacements = order.iter().skip(set_size);
+        let may_replace = |worker: &&WorkerId| self.context().may_replace_others(**worker, now);
+        let is_eligible = |worker: &WorkerId| self.is_eligible_member(request, *worker, now);
+        in_set.chain(replacements.filter(may_replace)).copied().filter(is_eligible).take(limit).collect()
     }
 
     fn is_eligible_member(&self, request: &Request, worker: WorkerId, now: Micros) -> bool {
--- a/crates/dispatcher/src/dispatcher/capacity.rs
+++ b/crates/dispatcher/src/dispatcher/capacity.rs
@@ -37,6 +37,11 @@
         self.estimates.get(class).copied().unwrap_or(1.0)
     }
 
+    /// Returns the lowest estimate of all classes; 1 before there is any.
+    pub(super) fn lowest(&self) -> f64 {
+        self.estimates.iter().copied().reduce(f64::min).unwrap_or(1.0)
+    }
+
     /// Recomputes the estimate of each class from its observations and those of all classes; `prior` replaces
     /// missing observations.
     fn update(&mut self, prior: f64) {
--- a/crates/dispatcher/src/dispatcher/context.rs
+++ b/crates/dispatcher/src/dispatcher/context.rs
@@ -5,6 +5,7 @@
 use crate::dispatcher::request::Request;
 use crate::dispatcher::slow_start::capacity_fraction;
 use crate::dispatcher::subset::WorkerSubset;
+use crate::dispatcher::throughput::Throughput;
 use crate::dispatcher::worker::Worker;
 use crate::dispatcher::worker_table::WorkerTable;
 use crate::interface::{Class, Micros, Settings, WorkerId};
@@ -20,6 +21,7 @@
     pub(super) health: &'a HealthTracker,
     pub(super) arrivals: &'a ArrivalStatistics,
     pub(super) subset: &'a WorkerSubset,
+    pub(super) throughput: &'a Throughput,
 }
 
 impl<'a> DecisionContext<'a> {
--- a/crates/dispatcher/src/dispatcher/observations.rs
+++ b/crates/dispatcher/src/dispatcher/observations.rs
@@ -71,6 +71,9 @@
             self.subset.invalidate_members();
         }
         self.capacity.observe(&mut self.workers, id, attempt.class, capacity, fraction >= 1.0);
+        if fraction >= 1.0 && self.workers.get(id).is_ready() {
+            self.throughput.record_served(now, attempt.size);
+        }
         self.ranking.invalidate();
     }
 
--- a/crates/dispatcher/src/dispatcher/rendezvous.rs
+++ b/crates/dispatcher/src/dispatcher/rendezvous.rs
@@ -153,9 +153,9 @@
     if workers <= SHORT_LIST_WORKERS { choices } else { choices.min(MAX_WORKERS_PER_KEY) }
 }
 
-/// Returns a pseudo-random number above 0 and up to 1, always the same for equal arguments. `worker` is the
-/// hash of a worker's name or, for an order of one dispatcher only, its id.
-fn uniform_hash(key: u64, worker: u64) -> f64 {
+/// Returns a pseudo-random number above 0 and up to 1, always the same for equal arguments. In an order of
+/// workers, `worker` is the hash of a worker's name or, for one dispatcher only, its id.
+pub(super) fn uniform_hash(key: u64, worker: u64) -> f64 {
     let mut hash = key ^ worker.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     for _ in 0..2 {
         hash = (hash ^ (hash >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/dispatcher/src/dispatcher/requests.rs
+++ b/crates/dispatcher/src/dispatcher/requests.rs
@@ -96,12 +96,17 @@
         let context = self.context();
         let check_at = self.start_timeout_at(now, request, worker_id);
         let send_by = context.send_by(request);
-        let debt = context.debt_after_send(worker_id, request, now);
+        let slow_start_cost = context.slow_start_cost(request);
+        let slow_start_budget = context.slow_start_budget(worker_id, now);
         let slots = self.workers.kind(self.workers.get(worker_id)).slots();
         let Some(request) = self.requests.get_mut(&id) else { return };
         let attempt = begin_attempt(now, id, request, worker_id);
         let key = request.affinity_key;
-        self.workers.get_mut(worker_id).record_send(attempt, key, slots, debt);
+        let worker = self.workers.get_mut(worker_id);
+        worker.record_send(attempt, key, slots);
+        if let Some(budget) = slow_start_budget {
+            worker.slow_start_usage.record(now, slow_start_cost, &budget);
+        }
         actions.push(Action::Send { request: id, worker: worker_id, timeout: 0, send_by });
         self.timers.schedule(id, check_at);
     }
--- a/crates/dispatcher/src/dispatcher/subset.rs
+++ b/crates/dispatcher/src/dispatcher/subset.rs
@@ -7,6 +7,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::arrival_statistics::ArrivalStatistics;
 use crate::dispatcher::rendezvous::{Candidate, limit_choices};
+use crate::dispatcher::slow_start::capacity_fraction;
 use crate::interface::{Micros, WorkerId};
 
 /// Lower bound of the subset's size. In a smaller subset, one failed worker is a large part of it, and large
@@ -30,8 +31,12 @@
 /// size.
 const REPLACEMENT_RANGE: usize = 2;
 
-/// Lower bound of the total weight, which is used as a divisor.
+/// Lower bound of a sum of weights, which is used as a divisor.
 const MIN_TOTAL_WEIGHT: f64 = 1e-9;
+/// Largest number of steps in the search for the distance of the nearest workers.
+const MAX_DISTANCE_STEPS: usize = 12;
+/// The search ends when the expected number of workers within the distance is right to this fraction.
+const DISTANCE_PRECISION: f64 = 0.01;
 
 /// Result of a lookup of the nearest workers.
 pub(super) struct NearestWorkers {
@@ -39,34 +44,37 @@
     pub(super) of_all_kinds: Vec<WorkerId>,
     /// By class: workers of the kind that runs it, the nearest first; empty if all kinds run it.
     pub(super) by_class: Vec<Vec<WorkerId>>,
-    /// Total effective weight of all workers that accept new work.
-    pub(super) total_weight: f64,
+    /// Distance within which a dispatcher's nearest workers are expected, see [`distance_of_nearest`].
+    pub(super) distance: f64,
 }
 
 /// The subset, and the workers from which it is chosen.
 pub(super) struct WorkerSubset {
     target_size: usize,
+    /// Number of members unless some are ejected: the target size, or the length of the list if that is less.
+    size: usize,
     members: Vec<WorkerId>,
     members_stale: bool,
     nearest: Vec<WorkerId>,
     nearest_by_class: Vec<Vec<WorkerId>>,
     nearest_stale: bool,
     refresh_at: Micros,
-    /// Probability of being in a dispatcher's subset, per unit of effective weight.
-    probability_per_weight: f64,
+    /// Distance within which a dispatcher's nearest workers are expected, see [`distance_of_nearest`].
+    nearest_distance: f64,
 }
 
 impl Default for WorkerSubset {
     fn default() -> Self {
         WorkerSubset {
             target_size: INITIAL_SIZE,
+            size: 0,
             members: Vec::new(),
             members_stale: false,
             nearest: Vec::new(),
             nearest_by_class: Vec::new(),
             nearest_stale: false,
             refresh_at: 0,
-            probability_per_weight: 0.0,
+            nearest_distance: 0.0,
         }
     }
 }
@@ -82,10 +90,15 @@
         &self.nearest_by_class[class]
     }
 
-    /// Returns the probability that a given dispatcher has a worker of this effective weight in its subset; 1
-    /// for a worker that is not in this dispatcher's subset.
-    pub(super) fn membership_probability(&self, id: WorkerId, weight: f64) -> f64 {
-        if self.members.contains(&id) { self.probability_per_weight * weight } else { 1.0 }
+    /// Returns the probability that a worker of this effective weight is among the nearest ones of a given
+    /// dispatcher, as many as the subset's size. Workers that replace ejected ones are not counted.
+    pub(super) fn probability_of_nearest(&self, weight: f64) -> f64 {
+        1.0 - (-weight * self.nearest_distance).exp()
+    }
+
+    /// Returns whether a worker is among the nearest ones of this dispatcher, as many as the subset's size.
+    pub(super) fn is_nearest(&self, id: WorkerId) -> bool {
+        self.nearest.iter().take(self.size).any(|&nearest| nearest == id)
     }
 
     /// Adapts the target size to the load. Small changes of the load do not change it.
@@ -126,19 +139,25 @@
 
     /// Stores the result of a lookup in a list of this length.
     pub(super) fn set_nearest(&mut self, now: Micros, workers: usize, nearest: NearestWorkers) {
-        let size = self.target_size.min(workers);
-        self.probability_per_weight = size as f64 / nearest.total_weight.max(MIN_TOTAL_WEIGHT);
+        self.size = self.target_size.min(workers);
+        self.nearest_distance = nearest.distance;
         self.nearest = nearest.of_all_kinds;
         self.nearest_by_class = nearest.by_class;
         self.refresh_at = now + REFRESH_INTERVAL;
     }
 
-    /// Chooses the members in a list of this length. Ejected workers do not count towards the size.
-    pub(super) fn choose_members(&mut self, workers: usize, is_ejected: impl Fn(WorkerId) -> bool) {
-        let size = self.target_size.min(workers);
-        let ejected =
-            self.nearest.iter().take(REPLACEMENT_RANGE * size).filter(|&&id| is_ejected(id)).count();
-        self.members = self.nearest.iter().take(size + ejected).copied().collect();
+    /// Chooses the members: the nearest workers, and for each ejected one the next nearest. A worker that
+    /// accepts only a part of its work (`is_limited`) replaces none.
+    pub(super) fn choose_members(
+        &mut self,
+        is_ejected: impl Fn(WorkerId) -> bool,
+        is_limited: impl Fn(WorkerId) -> bool,
+    ) {
+        let in_range = self.nearest.iter().take(REPLACEMENT_RANGE * self.size);
+        let ejected = in_range.filter(|&&id| is_ejected(id)).count();
+        let (nearest, replacements) = self.nearest.split_at(self.size.min(self.nearest.len()));
+        let replacements = replacements.iter().take(ejected).filter(|&&id| !is_limited(id));
+        self.members = nearest.iter().chain(replacements).copied().collect();
     }
 }
 
@@ -153,19 +172,21 @@
             weight: context.effective_weight(id, now),
         };
         let candidates: Vec<Candidate> = context.workers.ready().iter().map(candidate).collect();
-        let total_weight: f64 = candidates.iter().map(|candidate| candidate.weight).sum();
         let workers = candidates.len();
+        let weights = candidates.iter().map(|candidate| candidate.weight);
+        let distance = distance_of_nearest(self.subset.target_size, &weights.collect::<Vec<_>>());
         self.affinity.set_candidates(candidates);
         let limit = self.subset.lookup_size(workers);
         let of_all_kinds = self.affinity.nearest_to_instance(limit, |_| true);
         let limit_of_class = limit_choices(workers, workers).max(limit);
         let classes = 0..self.settings.classes.len();
         let by_class = classes.map(|class| self.nearest_of_class(class, limit_of_class)).collect();
-        let nearest = NearestWorkers { of_all_kinds, by_class, total_weight };
+        let nearest = NearestWorkers { of_all_kinds, by_class, distance };
         for &id in nearest.of_all_kinds.iter().chain(nearest.by_class.iter().flatten()) {
             self.capacity.estimate(&mut self.workers, id);
         }
         self.subset.set_nearest(now, workers, nearest);
+        self.update_throughput_weight(now);
     }
 
     /// Returns the nearest workers that run a class, if only one kind does: the subset may contain none of
@@ -181,10 +202,38 @@
     /// Chooses the subset from the nearest workers. A worker with a recent rejection counts as ejected here.
     pub(super) fn choose_subset(&mut self, now: Micros) {
         let (workers, health) = (&self.workers, &self.health);
+        let rules = &self.settings.slow_start;
         let is_ejected = |id| {
             let worker = workers.get(id);
             !health.is_healthy(worker) || worker.health.has_recent_rejection(now)
         };
-        self.subset.choose_members(workers.ready().len(), is_ejected);
+        let is_limited = |id| capacity_fraction(rules, workers.get(id).entry.started_at, now) < 1.0;
+        self.subset.choose_members(is_ejected, is_limited);
+    }
+}
+
+/// Returns the distance within which a dispatcher finds `count` workers of these weights on average. In
+/// weighted rendezvous hashing, the distance of a worker is exponentially distributed with the rate of its
+/// weight, so it is within a distance d with the probability 1 - exp(-weight * d).
+fn distance_of_nearest(count: usize, weights: &[f64]) -> f64 {
+    if count >= weights.len() {
+        return f64::INFINITY;
+    }
+    let total: f64 = weights.iter().sum();
+    let mut distance = count as f64 / total.max(MIN_TOTAL_WEIGHT);
+    // Newton's method; the number is concave in the distance, so every step ends below the solution.
+    for _ in 0..MAX_DISTANCE_STEPS {
+        let (mut expected, mut slope) = (0.0, 0.0);
+        for weight in weights {
+            let beyond = (-weight * distance).exp();
+            expected += 1.0 - beyond;
+            slope += weight * beyond;
+        }
+        let missing = count as f64 - expected;
+        if missing <= DISTANCE_PRECISION * count as f64 {
+            break;
+        }
+        distance += missing / slope.max(MIN_TOTAL_WEIGHT);
     }
+    distance
 }
--- a/crates/dispatcher/src/dispatcher/worker.rs
+++ b/crates/dispatcher/src/dispatcher/worker.rs
@@ -5,7 +5,7 @@
 use crate::dispatcher::capacity::EstimatedCapacity;
 use crate::dispatcher::decayed_wait::DecayedWait;
 use crate::dispatcher::health::WorkerHealth;
-use crate::dispatcher::slow_start::SlowStartDebt;
+use crate::dispatcher::slow_start_usage::SlowStartUsage;
 use crate::interface::{Lifecycle, Micros, WorkerEntry};
 
 /// A worker: its list entry, its outstanding attempts, and what its responses have shown.
@@ -14,7 +14,7 @@
     pub(super) entry: WorkerEntry,
     pub(super) capacity: EstimatedCapacity,
     pub(super) health: WorkerHealth,
-    slow_start_debt: SlowStartDebt,
+    pub(super) slow_start_usage: SlowStartUsage,
     cached_keys: CachedKeys,
     outstanding: Vec<Attempt>,
     /// Measured waits by class.
@@ -23,17 +23,18 @@
 
 impl Worker {
     /// Applies an entry of the worker list. A later start time indicates a new process: the health and cached
-    /// keys of the old one are cleared, and slow start begins with `initial_debt`.
-    pub(super) fn apply(&mut self, entry: WorkerEntry, classes: usize, initial_debt: f64) {
+    /// keys of the old one are cleared. Returns whether the process is new.
+    pub(super) fn apply(&mut self, entry: WorkerEntry, classes: usize) -> bool {
         self.capacity.resize(classes);
         self.health.resize(classes);
         self.waits.resize(classes, DecayedWait::default());
-        if entry.started_at > self.entry.started_at {
+        let is_new_process = entry.started_at > self.entry.started_at;
+        if is_new_process {
             self.health.reset();
-            self.slow_start_debt = SlowStartDebt::new(initial_debt, entry.started_at);
             self.cached_keys.clear();
         }
         self.entry = entry;
+        is_new_process
     }
 
     /// Returns whether the worker accepts new work, according to the worker list.
@@ -41,12 +42,11 @@
         self.entry.lifecycle == Lifecycle::Ready
     }
 
-    /// Records an attempt that is sent to the worker: the affinity key of its job, the number of slots of the
-    /// worker, and the slow-start debt after the send.
-    pub(super) fn record_send(&mut self, attempt: Attempt, key: u64, slots: f64, debt: SlowStartDebt) {
+    /// Records an attempt that is sent to the worker: the affinity key of its job, and the number of slots of
+    /// the worker.
+    pub(super) fn record_send(&mut self, attempt: Attempt, key: u64, slots: f64) {
         self.outstanding.push(attempt);
         self.cached_keys.record_sent(key, slots);
-        self.slow_start_debt = debt;
     }
 
     /// Returns the attempts that have no outcome yet.
@@ -59,11 +59,6 @@
         self.cached_keys.contains(key)
     }
 
-    /// Returns the slow-start debt at the time of its last update.
-    pub(super) fn slow_start_debt(&self) -> SlowStartDebt {
-        self.slow_start_debt
-    }
-
     /// Returns the number of slots that all outstanding attempts occupy.
     pub(super) fn outstanding_slots(&self) -> f64 {
         self.outstanding.iter().map(|attempt| attempt.slots).sum()
--- a/crates/dispatcher/src/dispatcher/worker_table.rs
+++ b/crates/dispatcher/src/dispatcher/worker_table.rs
@@ -78,19 +78,20 @@
         }
     }
 
-    /// Applies an entry of the worker list. If it shows a new process, its slow-start debt is `initial_debt`.
-    pub(super) fn apply(&mut self, mut entry: WorkerEntry, initial_debt: f64) {
+    /// Applies an entry of the worker list. Returns whether it shows a new process.
+    pub(super) fn apply(&mut self, mut entry: WorkerEntry) -> bool {
         entry.weight = if entry.weight.is_finite() { entry.weight.max(0.0) } else { 1.0 };
         entry.kind = entry.kind.min(MAX_KIND);
         let (id, kind, weight) = (entry.worker, entry.kind, entry.weight);
         let classes = self.classes;
-        self.get_mut(id).apply(entry, classes, initial_debt);
+        let is_new_process = self.get_mut(id).apply(entry, classes);
         if kind >= self.kinds.len() {
             self.kinds.resize(kind + 1, MachineKind::default());
         }
         if self.weights_include_load {
             self.kinds[kind].record_weight(weight);
         }
+        is_new_process
     }
 
     /// Recomputes the ready workers and the totals after the list has changed.
--- a/crates/dispatcher/src/interface/status.rs
+++ b/crates/dispatcher/src/interface/status.rs
@@ -21,6 +21,8 @@
     pub capacity: f64,
     /// Expected number of dispatchers that use the worker, this one included.
     pub expected_users: f64,
+    /// Whether the worker is among the nearest ones of this dispatcher, as many as the size of its subset.
+    pub is_nearest: bool,
     /// Work that this dispatcher may send within the overload window, in microseconds.
     pub budget: f64,
     /// Work that counts against the budget at present, in microseconds.
--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Settings, event constructors and a dispatcher harness for the integration tests.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use sorrelhaven_dispatcher::*;
 
 pub const MS: Micros = 1_000;
