--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -208,7 +208,10 @@
             .collect()
     }
 
-    /// Returns the estimates for a worker that the host has named; `None` outside slow start.
+    /// Returns the estimates for a worker; `None` outside slow start.
+    ///
+    /// # Panics
+    /// If the host has not named the worker.
     pub fn slow_start_status(&self, worker: WorkerId, now: Micros) -> Option<SlowStartStatus> {
         self.context().slow_start_status(worker, now)
     }
--- a/crates/dispatcher/src/dispatcher/slow_start.rs
+++ b/crates/dispatcher/src/dispatcher/slow_start.rs
@@ -52,16 +52,17 @@
 
 impl DecisionContext<'_> {
     /// Returns whether a worker can accept `cost` more work; always true outside slow start. A job that
-    /// exceeds this dispatcher's share of a window may be sent in random slots while no other work counts.
-    /// Where the worker is not among the nearest ones, it may be sent at any time, and counts for longer.
+    /// exceeds this dispatcher's share of a window may be sent in random time slots while no other work
+    /// counts. Where the worker is not among the nearest ones, it may be sent at any time, and counts for
+    /// longer.
     pub(super) fn has_slow_start_budget(&self, id: WorkerId, cost: f64, now: Micros) -> bool {
         let Some(budget) = self.slow_start_budget(id, now) else { return true };
         let usage = &self.workers.get(id).slow_start_usage;
         let used = usage.used_at(now, &budget);
         let fits_share = used + cost <= budget.per_window();
         let is_single_job = used <= 0.0 && cost <= budget.max_single_job;
-        let is_slot = || !budget.is_slotted || self.is_slot_for(cost, id, &budget, now);
-        let fits_single_job = is_single_job && is_slot();
+        let is_time_slot = || !budget.is_time_slotted || self.is_time_slot_for(cost, id, &budget, now);
+        let fits_single_job = is_single_job && is_time_slot();
         usage.has_begun(now, &budget) && (fits_share || fits_single_job) && !self.is_late(id, now)
     }
 
@@ -82,7 +83,7 @@
             rate: capacity * rules.overload_factor * self.share_of_budget(id, now),
             window,
             max_single_job: capacity * window * MAX_SINGLE_JOB_SHARE,
-            is_slotted: self.subset.is_nearest(id),
+            is_time_slotted: self.subset.is_nearest(id),
         })
     }
 
@@ -116,10 +117,10 @@
         })
     }
 
-    /// Returns whether a single job of this cost may be sent in the current slot.
-    fn is_slot_for(&self, cost: f64, id: WorkerId, budget: &SlowStartBudget, now: Micros) -> bool {
+    /// Returns whether a single job of this cost may be sent in the current time slot.
+    fn is_time_slot_for(&self, cost: f64, id: WorkerId, budget: &SlowStartBudget, now: Micros) -> bool {
         let key = u64::from(self.settings.instance) << u32::BITS | u64::from(id.0);
-        uniform_hash(key, budget.slot_at(now)) <= budget.slot_probability(cost)
+        uniform_hash(key, budget.time_slot_at(now)) <= budget.time_slot_probability(cost)
     }
 
     /// Estimates the current capacity of a worker in slow start, in standard cores, from the work that other
--- a/crates/dispatcher/src/interface/status.rs
+++ b/crates/dispatcher/src/interface/status.rs
@@ -19,13 +19,13 @@
 pub struct SlowStartStatus {
     /// Estimated current capacity of the worker, in standard cores.
     pub capacity: f64,
-    /// Expected number of dispatchers that use the worker, this one included.
+    /// Expected number of dispatchers that have the worker among their nearest ones, at least 1.
     pub expected_users: f64,
     /// Whether the worker is among the nearest ones of this dispatcher, as many as the size of its subset.
     pub is_nearest: bool,
     /// Work that this dispatcher may send within the overload window, in microseconds.
     pub budget: f64,
-    /// Work that counts against the budget at present, in microseconds.
+    /// Work already sent that still counts against the budget, in microseconds.
     pub used: f64,
     /// Number of workers in this dispatcher's subset.
     pub subset_size: usize,
--- a/crates/dispatcher/tests/slow_start.rs
+++ b/crates/dispatcher/tests/slow_start.rs
@@ -46,3 +46,25 @@
     }
     assert!((1..=4).contains(&sent), "{sent} jobs were sent within 1 s");
 }
+
+/// Guards against a metric and a log line that show workers in slow start for too long, not at all, or without
+/// what was sent to them.
+#[test]
+fn status_of_a_worker_in_slow_start_shows_its_capacity_and_what_was_sent() {
+    let mut harness = DispatcherHarness::new(settings(), 1);
+    assert_eq!(harness.dispatcher.workers_in_slow_start(SEC), 0);
+    let started_at = 10 * SEC;
+    harness.dispatch(started_at, list_delta([WorkerEntry { started_at, ..entry(0) }]));
+    let (_, actions) = harness.arrive(started_at + SEC, 0, 100 * MS);
+    assert_eq!(sends(&actions).len(), 1, "the job is within the budget and sent at once");
+    let status = harness.dispatcher.slow_start_status(WorkerId(0), started_at + SEC).expect("in slow start");
+    assert_eq!(status.used, 100e3, "the work sent is that of one job");
+    assert!(status.used <= status.budget && status.is_nearest, "{status:?}");
+    // Both dispatchers have the only worker among their nearest ones. It has one slot and started 1 s ago with
+    // a fifth of its capacity, which it regains within 10 s.
+    assert_eq!((status.expected_users, status.subset_size), (2.0, 1));
+    assert!((status.capacity - 0.28).abs() < 0.01, "{status:?}");
+    assert_eq!(harness.dispatcher.workers_in_slow_start(started_at + SEC), 1);
+    assert_eq!(harness.dispatcher.workers_in_slow_start(started_at + 10 * SEC), 0);
+    assert_eq!(harness.dispatcher.slow_start_status(WorkerId(0), started_at + 10 * SEC), None);
+}
--- a/crates/engine/src/dispatcher_loop.rs
+++ b/crates/engine/src/dispatcher_loop.rs
@@ -204,7 +204,8 @@
     }
 }
 
-/// Logs a send to a worker in slow start with the estimates that permitted it, at debug level.
+/// Logs a send to a worker in slow start with the estimates behind it, at debug level. The work that counts
+/// against the budget includes this send.
 fn log_slow_start(dispatcher: &Dispatcher, now: Micros, action: &Action) {
     if !enabled!(target: SLOW_START_TARGET, Level::DEBUG) {
         return;
