Log and count memory, closed connections and refused requests

Change: metrics of resident and peak resident memory; a log line when memory passes seven eighths of limits.memory_mb and when it is under three quarters again; a counter and a debug line with the reason for each closed downstream connection; a counter and a debug line for each request refused for its id; admission and disconnect of each request at debug level.

No change of what clients get.

--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -84,6 +84,10 @@
     pub long_steps: u64,
     /// Requests answered after their deadline.
     pub answered_late: u64,
+    /// Physical memory that the process uses, in bytes.
+    pub resident_bytes: u64,
+    /// The most physical memory that the process has used, in bytes.
+    pub peak_resident_bytes: u64,
     /// The metrics of the membership protocol; empty if it is off.
     pub membership: Vec<Metric>,
 }
@@ -122,7 +126,7 @@
     }
 
     /// The metrics of the node as a whole, in the order in which they are shown.
-    fn node_metrics(&self) -> [Metric; 9] {
+    fn node_metrics(&self) -> [Metric; 11] {
         [
             Metric::counter("upstream_tries", self.attempts_written),
             Metric::gauge("in_progress", self.in_progress),
@@ -133,6 +137,8 @@
             Metric::gauge("longest_timer_lag_us", self.longest_timer_lag_us),
             Metric::counter("long_steps", self.long_steps),
             Metric::counter("answered_late", self.answered_late),
+            Metric::gauge("resident_bytes", self.resident_bytes),
+            Metric::gauge("peak_resident_bytes", self.peak_resident_bytes),
         ]
     }
 
--- a/crates/admin/src/service.rs
+++ b/crates/admin/src/service.rs
@@ -2,7 +2,7 @@
 
 use crate::command::{AdminCommand, CommandError};
 use crate::metrics::{ClassMetrics, END_OF_TEXT, Metric, Metrics};
-use sorrelhaven_engine::Engine;
+use sorrelhaven_engine::{Engine, ProcessMemory};
 use sorrelhaven_lifecycle::{CommandReply, LifecycleHandle};
 use sorrelhaven_membership::{Member, MemberState, Membership};
 use std::cell::RefCell;
@@ -44,6 +44,7 @@
     pub fn metrics(&self) -> Metrics {
         let counters = &self.engine.counters;
         let workers = self.engine.dispatcher_loop.worker_counts();
+        let memory = ProcessMemory::read();
         Metrics {
             classes: self.class_metrics(),
             attempts_written: counters.requests_sent.get(),
@@ -56,6 +57,8 @@
             longest_timer_lag_us: counters.responsiveness.longest_timer_lag.as_micros(),
             long_steps: counters.responsiveness.long_steps.get(),
             answered_late: counters.answered_late.get(),
+            resident_bytes: memory.resident_bytes,
+            peak_resident_bytes: memory.peak_resident_bytes,
             membership: self.membership_metrics(),
         }
     }
--- a/crates/admin/tests/metrics_text.rs
+++ b/crates/admin/tests/metrics_text.rs
@@ -24,6 +24,8 @@
         longest_timer_lag_us: 900,
         long_steps: 3,
         answered_late: 4,
+        resident_bytes: 9_000_000,
+        peak_resident_bytes: 9_500_000,
         membership: vec![Metric::gauge("members_alive", 5)],
     };
     let text = metrics.text();
@@ -43,6 +45,8 @@
         "node_longest_timer_lag_us 900",
         "node_long_steps 3",
         "node_answered_late 4",
+        "node_resident_bytes 9000000",
+        "node_peak_resident_bytes 9500000",
     ] {
         assert_eq!(text.lines().filter(|shown| *shown == line).count(), 1, "{line} in {text}");
     }
--- a/crates/engine/src/counters.rs
+++ b/crates/engine/src/counters.rs
@@ -30,6 +30,8 @@
 pub struct Counters {
     classes: Vec<(String, ClassCounters)>,
     in_progress: Cell<u64>,
+    /// Requests refused because a request with the same id was in progress.
+    pub duplicate_ids: Counter,
     /// Attempts started, including those that were never sent.
     pub attempts: Counter,
     /// Attempts whose request was written up to the last byte.
@@ -144,6 +146,7 @@
             ("failed", self.total(|class| &class.failed)),
             ("client_gone", self.total(|class| &class.client_gone)),
             ("in_progress", self.in_progress()),
+            ("duplicate_ids", self.duplicate_ids.get()),
             ("attempts", self.attempts.get()),
         ];
         metrics.extend(OUTCOME_NAMES.iter().zip(&self.outcomes).map(|(name, count)| (*name, count.get())));
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -11,6 +11,7 @@
 use crate::dispatcher_loop::DispatcherLoop;
 use crate::job::Job;
 use crate::load_report::LoadReportFields;
+use crate::memory_monitor::MemoryMonitor;
 use crate::probe;
 use crate::request_admission::{DuplicateRequestId, RequestAdmission, RequestHandle};
 use crate::request_task::RequestContext;
@@ -35,6 +36,8 @@
 const DRAIN_GRACE_ALLOWANCE: Duration = Duration::from_millis(50);
 /// The connect timeout if the settings have none.
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The unit of `limits.memory_mb`.
+const BYTES_PER_MB: u64 = 1 << 20;
 
 /// One node without its front ends: accepts jobs and answers each once.
 pub struct Engine {
@@ -50,6 +53,8 @@
     pub body_admission: BodyAdmission,
     /// The node's counters.
     pub counters: Rc<Counters>,
+    /// Compares the memory of the process with its limit.
+    pub memory_monitor: Rc<MemoryMonitor>,
     request_admission: RequestAdmission,
     probes: Receiver<WorkerId>,
     backoff: Backoff,
@@ -93,6 +98,7 @@
             upstreams,
             bodies,
             counters,
+            memory_monitor: Rc::new(MemoryMonitor::new(memory_limit_bytes(config))),
             request_admission,
             probes,
             backoff: Backoff::new(config.seed, config.drain_grace, config.max_list_staleness),
@@ -101,7 +107,7 @@
     }
 
     /// Starts the tasks that run as long as the node: the discovery watch, the dispatcher's timers and
-    /// probes, the spilling of bodies to disk, and the eviction of expired connections.
+    /// probes, the spilling of bodies to disk, the memory monitor, and the eviction of expired connections.
     ///
     /// The watch polls the address `discovery` for the changes after the worker list `version`, and continues
     /// at each address that `address_changes` delivers.
@@ -119,6 +125,8 @@
         let engine = self.clone();
         self.tasks.spawn(async move { engine.run_probes().await });
         self.tasks.spawn(self.bodies.clone().run_spiller());
+        let memory_monitor = self.memory_monitor.clone();
+        self.tasks.spawn(async move { memory_monitor.run().await });
         let upstreams = self.upstreams.clone();
         self.tasks.spawn(async move { evict_expired_connections(&upstreams.pool).await });
     }
@@ -168,6 +176,11 @@
     }
 }
 
+/// The number of bytes that the process may use.
+fn memory_limit_bytes(config: &Config) -> u64 {
+    config.memory_mb.saturating_mul(BYTES_PER_MB)
+}
+
 async fn evict_expired_connections(pool: &ConnectionPool) {
     loop {
         Timer::after(EVICTION_INTERVAL).await;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -27,6 +27,7 @@
 //! | `invariants` | run-time checks of properties that hold for every request |
 //! | `attempt_end` | every way an attempt can end, and the outcome that the dispatcher receives |
 //! | `responsiveness` | event loop delays |
+//! | `memory_monitor`, `process_memory` | the memory of the process, compared with its limit |
 //! | `clock`, `metric` | the clock of dispatcher events; counters and maxima |
 //!
 //! ```no_run
@@ -57,8 +58,10 @@
 mod invariants;
 mod job;
 mod load_report;
+mod memory_monitor;
 mod metric;
 mod probe;
+mod process_memory;
 mod request_admission;
 mod request_task;
 mod request_writer;
@@ -82,7 +85,9 @@
 pub use engine::Engine;
 pub use invariants::{Invariant, Invariants, RequestChecks, SentAttempt, WorkerDrain};
 pub use job::{Answer, Job, RequestMessage, RequestPayload};
+pub use memory_monitor::MemoryMonitor;
 pub use metric::{Counter, MaxDuration};
+pub use process_memory::ProcessMemory;
 pub use request_admission::{DuplicateRequestId, RequestHandle};
 pub use responsiveness::{LONG_STEP_THRESHOLD, Responsiveness};
 pub use tasks::Tasks;
--- a/crates/engine/src/request_admission.rs
+++ b/crates/engine/src/request_admission.rs
@@ -9,6 +9,7 @@
 use sorrelhaven_dispatcher::{Arrival, RequestId};
 use std::fmt;
 use std::rc::Rc;
+use tracing::debug;
 
 /// The front end's handle of a request in progress: delivers the answer, and reports a disconnected client.
 pub struct RequestHandle {
@@ -69,8 +70,11 @@
     pub fn admit(&self, job: Job) -> Result<RequestHandle, DuplicateRequestId> {
         let is_new = self.context.ids_in_progress.borrow_mut().insert(job.payload.id.clone());
         if !is_new {
+            self.context.counters.duplicate_ids.increment();
+            debug!(id = %job.payload.id, "request refused: its id is in progress");
             return Err(DuplicateRequestId);
         }
+        debug!(id = %job.payload.id, class = job.class, "request admitted");
         let (messages, receiver) = async_channel::unbounded();
         let (answer_sender, answer) = async_channel::bounded(1);
         self.context.counters.request_admitted(job.class);
--- a/crates/engine/src/request_task.rs
+++ b/crates/engine/src/request_task.rs
@@ -270,7 +270,9 @@
         }
         self.request.body_permit = None;
         self.request.state.client_disconnected_at.set(Some(Instant::now()));
-        if !self.request.state.fully_sent.get() {
+        let fully_sent = self.request.state.fully_sent.get();
+        debug!(id = %self.client_request_id(), fully_sent, "client disconnected");
+        if !fully_sent {
             self.context.counters.client_gone_waiting.increment();
         }
         self.context.counters.request_concluded(self.request.class, RequestEnd::ClientDisconnected);
--- a/crates/frontend-http1/src/accept.rs
+++ b/crates/frontend-http1/src/accept.rs
@@ -1,5 +1,6 @@
 //! The accept loop. Evicts (closes) connections without a request in progress when file descriptors run out.
 
+use crate::close_reason::CloseReason;
 use crate::connection::serve_connection;
 use crate::frontend::Frontend;
 use async_io::Async;
@@ -11,7 +12,7 @@
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// The longest time that a process spends at shutdown on accepting the connections in its own accept queue.
 const QUEUE_DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -126,16 +127,25 @@
 fn spawn_connection(frontend: &Rc<Frontend>, stream: TcpStream, permit: DescriptorPermit) {
     frontend.counters.downstream_connections.increment();
     frontend.connections.record_opened();
+    let number = frontend.counters.downstream_connections.get();
     let shared = frontend.clone();
     frontend.engine.tasks.spawn(async move {
-        match Connection::accepted(stream).await {
-            Ok(mut connection) => serve_connection(&shared, &mut connection).await,
-            Err(error) => {
-                shared.counters.accepts_failed.increment();
-                warn!(%error, "accepted connection could not be registered with the event loop");
-            }
-        }
+        let reason = serve_accepted(&shared, stream).await;
+        debug!(connection = number, ?reason, "downstream connection closed");
+        shared.counters.connection_closed(reason);
         drop(permit);
         shared.connections.record_closed();
     });
 }
+
+/// Serves an accepted connection, closes it, and returns why.
+async fn serve_accepted(frontend: &Frontend, stream: TcpStream) -> CloseReason {
+    match Connection::accepted(stream).await {
+        Ok(mut connection) => serve_connection(frontend, &mut connection).await,
+        Err(error) => {
+            frontend.counters.accepts_failed.increment();
+            warn!(%error, "accepted connection could not be registered with the event loop");
+            CloseReason::NotRegistered
+        }
+    }
+}
--- a/crates/frontend-http1/src/connection.rs
+++ b/crates/frontend-http1/src/connection.rs
@@ -1,8 +1,9 @@
 //! Serves one downstream connection, from its accept to its close.
 
+use crate::close_reason::CloseReason;
 use crate::exchange::{Exchange, serve_request};
 use crate::frontend::{Frontend, REQUEST_READ_TIMEOUT};
-use crate::response::Response;
+use crate::response::{REQUEST_TIMEOUT_STATUS, Response};
 use event_listener::Event;
 use futures_lite::future::{or, yield_now};
 use sorrelhaven_wire::{Connection, MAX_BODY_BYTES, timeout_at};
@@ -21,48 +22,69 @@
 
 /// Serves requests on a downstream connection, one after the other, until the client or the node closes it.
 /// Until a job has been submitted on the connection, [`REQUEST_READ_TIMEOUT`] counts from its accept, and the
-/// connection is evicted before those that have submitted a job.
-pub async fn serve_connection(frontend: &Frontend, connection: &mut Connection) {
+/// connection is evicted before those that have submitted a job. Returns why the connection is to be closed.
+pub async fn serve_connection(frontend: &Frontend, connection: &mut Connection) -> CloseReason {
     let accepted_at = Instant::now();
     let mut has_submitted_job = false;
     loop {
         let unused_deadline = (!has_submitted_job).then_some(accepted_at + REQUEST_READ_TIMEOUT);
-        if !wait_for_request(frontend, connection, unused_deadline).await {
-            return;
+        if let Err(reason) = wait_for_request(frontend, connection, unused_deadline).await {
+            return reason;
         }
         let read_started_at = if has_submitted_job { Instant::now() } else { accepted_at };
-        let Some(exchange) = serve_request(frontend, connection, read_started_at).await else { return };
+        let Some(exchange) = serve_request(frontend, connection, read_started_at).await else {
+            return CloseReason::ClientClosedInRequest;
+        };
         has_submitted_job |= exchange.submitted_job;
-        if send_response(frontend, connection, exchange).await.is_err() {
-            return;
+        if let Err(reason) = send_response(frontend, connection, exchange).await {
+            return reason;
         }
         // Without this, a client that sends requests without a pause would starve the other clients.
         yield_now().await;
     }
 }
 
-/// The connection must be closed: no other request can be read from it.
-struct ConnectionEnded;
-
+/// Sends the response. If no other request can be read from the connection, closes its sending side and returns
+/// the reason as the error.
 async fn send_response(
     frontend: &Frontend,
     connection: &mut Connection,
     exchange: Exchange,
-) -> Result<(), ConnectionEnded> {
+) -> Result<(), CloseReason> {
     let Exchange { mut response, reusable, .. } = exchange;
     record_client_error(frontend, &response);
-    response.close |= !reusable || connection.has_discarded_input() || frontend.is_draining();
+    let close_reason = close_reason(frontend, connection, &response, reusable);
+    response.close = close_reason.is_some();
     let bytes = response.to_bytes();
     let write_deadline = Instant::now() + RESPONSE_WRITE_TIMEOUT;
     if timeout_at(write_deadline, connection.write(&bytes)).await != Some(Ok(())) {
-        return Err(ConnectionEnded);
+        return Err(CloseReason::WriteFailed);
     }
+    let Some(reason) = close_reason else { return Ok(()) };
+    let linger_deadline = Instant::now() + LINGER_TIMEOUT;
+    _ = timeout_at(linger_deadline, connection.drain_input(MAX_LINGER_BYTES)).await;
+    Err(reason)
+}
+
+/// Why the connection is to be closed after `response`; `None` if it stays open. `reusable`: the request was read
+/// to its end, and the client keeps the connection open.
+fn close_reason(
+    frontend: &Frontend,
+    connection: &Connection,
+    response: &Response,
+    reusable: bool,
+) -> Option<CloseReason> {
     if response.close {
-        let linger_deadline = Instant::now() + LINGER_TIMEOUT;
-        _ = timeout_at(linger_deadline, connection.drain_input(MAX_LINGER_BYTES)).await;
-        return Err(ConnectionEnded);
+        let is_timeout = response.status == REQUEST_TIMEOUT_STATUS;
+        return Some(if is_timeout { CloseReason::RequestTimeout } else { CloseReason::InvalidRequest });
     }
-    Ok(())
+    if connection.has_discarded_input() {
+        return Some(CloseReason::InputDiscarded);
+    }
+    if !reusable {
+        return Some(CloseReason::NotReusable);
+    }
+    frontend.is_draining().then_some(CloseReason::Draining)
 }
 
 fn record_client_error(frontend: &Frontend, response: &Response) {
@@ -87,7 +109,7 @@
     TimedOut,
 }
 
-/// Waits for the first byte of a request; returns false if the connection is to be closed instead.
+/// Waits for the first byte of a request. The error is why the connection is to be closed instead.
 /// `unused_deadline` ends the wait on a connection on which no job has been submitted yet; `None` on all
 /// others. The node does not close a connection with unread input, so the socket is read once more before a
 /// close.
@@ -95,27 +117,28 @@
     frontend: &Frontend,
     connection: &mut Connection,
     unused_deadline: Option<Instant>,
-) -> bool {
+) -> Result<(), CloseReason> {
     if connection.buffered_len() > 0 {
-        return true;
+        return Ok(());
     }
     let connections = &frontend.connections;
     let eviction =
         if unused_deadline.is_some() { &connections.evict_unused } else { &connections.evict_idle };
-    match next_idle_event(frontend, connection, eviction, unused_deadline).await {
-        IdleEvent::Input => true,
-        IdleEvent::PeerClosed => false,
-        IdleEvent::Evicted if connection.has_input() => {
-            // The notification is passed on, so that another connection is evicted instead of this one.
-            eviction.notify_additional(1);
-            true
-        }
-        IdleEvent::Evicted => {
-            frontend.counters.evicted_connections.increment();
-            false
-        }
-        IdleEvent::CloseIdle | IdleEvent::TimedOut => connection.has_input(),
+    let reason = match next_idle_event(frontend, connection, eviction, unused_deadline).await {
+        IdleEvent::Input => return Ok(()),
+        IdleEvent::PeerClosed => return Err(CloseReason::ClientClosedIdle),
+        IdleEvent::Evicted => CloseReason::Evicted,
+        IdleEvent::CloseIdle => CloseReason::Draining,
+        IdleEvent::TimedOut => CloseReason::IdleTimeout,
+    };
+    if !connection.has_input() {
+        return Err(reason);
+    }
+    if reason == CloseReason::Evicted {
+        // The notification is passed on, so that another connection is evicted instead of this one.
+        eviction.notify_additional(1);
     }
+    Ok(())
 }
 
 async fn next_idle_event(
--- a/crates/frontend-http1/src/lib.rs
+++ b/crates/frontend-http1/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod accept;
 mod body_reader;
+mod close_reason;
 mod connection;
 mod counters;
 mod downstream;
@@ -35,6 +36,7 @@
 mod response;
 
 pub use accept::{AcceptQueue, accept};
+pub use close_reason::CloseReason;
 pub use counters::Counters;
 pub use frontend::Frontend;
 pub use listen::listen;
--- a/crates/frontend-http1/src/response.rs
+++ b/crates/frontend-http1/src/response.rs
@@ -8,6 +8,9 @@
 /// Microseconds in a second. The `Retry-After` header is in seconds.
 const MICROS_PER_SECOND: f64 = 1e6;
 
+/// The status of the response to a request that was not received in time.
+pub const REQUEST_TIMEOUT_STATUS: u16 = 408;
+
 /// The final response to a client's request.
 pub struct Response {
     /// The HTTP status code.
@@ -41,7 +44,7 @@
 
     /// The response to a request that was not received within the read timeout.
     pub fn request_timeout() -> Response {
-        Response::protocol_error(408, "the request came too slowly")
+        Response::protocol_error(REQUEST_TIMEOUT_STATUS, "the request came too slowly")
     }
 
     /// The response to a request that could not be read; `None` if the connection is closed or has failed.
@@ -109,7 +112,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
-        408 => "Request Timeout",
+        REQUEST_TIMEOUT_STATUS => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,7 @@
 use crate::reload::Reloader;
 use crate::signals::{Signal, Signals};
 use async_io::Timer;
-use sorrelhaven_engine::Engine;
+use sorrelhaven_engine::{Engine, ProcessMemory};
 use sorrelhaven_frontend_http1::{AcceptQueue, Frontend, accept};
 use sorrelhaven_lifecycle::{Lifecycle, LifecycleHandle, Phase};
 use std::rc::Rc;
@@ -28,11 +28,18 @@
     pub format: LogFormat,
 }
 
+/// The memory of this process, in bytes.
+fn memory_metrics() -> [(&'static str, u64); 2] {
+    let memory = ProcessMemory::read();
+    [("resident_bytes", memory.resident_bytes), ("peak_resident_bytes", memory.peak_resident_bytes)]
+}
+
 impl Node {
     /// Prints all counters to standard error, on one line.
     pub fn print_counters(&self) {
         let counters = self.engine.counters.metrics().into_iter();
         let counters = counters.chain(self.frontend.counters.metrics()).chain(self.engine.bodies.metrics());
+        let counters = counters.chain(memory_metrics());
         eprintln!("{}", counter_report(self.format, counters));
     }
 
