Incomplete first requests give way when descriptors run out

What callers saw: while hundreds of clients stopped half way through a request, a client that had been served got its answer after 2.6 s, since its connection was closed between two requests and the new one waited in the accept queue.

Cause: connections could be evicted only between requests. Clients that stop half way held all descriptors until their read timeout (2.2 s), and each of them displaced an idle connection of a client that does send jobs (downstream.rs, evict_one).

Change: a connection whose first request is incomplete is evicted after those that have sent nothing and before those that have carried a job, the one that has been incomplete longest first. One with unread input stays, as its request may be complete. Counter: evicted_incomplete_requests.

--- a/crates/frontend-http1/src/body_reader.rs
+++ b/crates/frontend-http1/src/body_reader.rs
@@ -32,6 +32,8 @@
     ReadyToStream(BodyReader),
     /// Reading has stopped before the end of the body, for this reason.
     Incomplete(BodyEnd),
+    /// Reading has stopped because the connection's descriptor is needed for another connection.
+    Evicted,
 }
 
 /// Whether a body continues after a transferred chunk.
--- a/crates/frontend-http1/src/close_reason.rs
+++ b/crates/frontend-http1/src/close_reason.rs
@@ -7,8 +7,10 @@
     ClientClosedIdle,
     /// The client closed it, or it failed, during a request.
     ClientClosedInRequest,
-    /// Its descriptor was needed for another connection.
+    /// Its descriptor was needed for another connection while it was idle.
     Evicted,
+    /// Its descriptor was needed for another connection while its first request was incomplete.
+    EvictedIncomplete,
     /// It was idle for too long, or carried no job within the time for the first one.
     IdleTimeout,
     /// The node drains or shuts down.
@@ -29,10 +31,11 @@
 
 impl CloseReason {
     /// Every reason, in the order of the discriminants, which index the counts.
-    pub const ALL: [CloseReason; 11] = [
+    pub const ALL: [CloseReason; 12] = [
         CloseReason::ClientClosedIdle,
         CloseReason::ClientClosedInRequest,
         CloseReason::Evicted,
+        CloseReason::EvictedIncomplete,
         CloseReason::IdleTimeout,
         CloseReason::Draining,
         CloseReason::RequestTimeout,
@@ -49,6 +52,7 @@
             CloseReason::ClientClosedIdle => "closed_by_client_idle",
             CloseReason::ClientClosedInRequest => "closed_by_client_in_request",
             CloseReason::Evicted => "evicted_connections",
+            CloseReason::EvictedIncomplete => "evicted_incomplete_requests",
             CloseReason::IdleTimeout => "closed_idle_timeout",
             CloseReason::Draining => "closed_draining",
             CloseReason::RequestTimeout => "closed_request_timeout",
--- a/crates/frontend-http1/src/connection.rs
+++ b/crates/frontend-http1/src/connection.rs
@@ -32,8 +32,10 @@
             return reason;
         }
         let read_started_at = if has_submitted_job { Instant::now() } else { accepted_at };
-        let Some(exchange) = serve_request(frontend, connection, read_started_at).await else {
-            return CloseReason::ClientClosedInRequest;
+        let served = serve_request(frontend, connection, read_started_at, has_submitted_job).await;
+        let exchange = match served {
+            Ok(exchange) => exchange,
+            Err(reason) => return reason,
         };
         has_submitted_job |= exchange.submitted_job;
         if let Err(reason) = send_response(frontend, connection, exchange).await {
--- a/crates/frontend-http1/src/downstream.rs
+++ b/crates/frontend-http1/src/downstream.rs
@@ -15,6 +15,9 @@
     /// Each notification closes one unused connection, on which no job has been submitted yet: the one that
     /// has been idle for the longest time.
     pub evict_unused: Event,
+    /// Each notification closes one connection on which no job has been submitted and whose first request is
+    /// incomplete: the one that has been read for the longest time.
+    pub evict_incomplete: Event,
     /// Each notification closes one connection on which a job has been submitted: the one that has been idle
     /// for the longest time.
     pub evict_idle: Event,
@@ -41,21 +44,25 @@
         self.closed.notify(1);
     }
 
-    /// Closes one connection without a request in progress. Waits until any connection has closed, but no
-    /// longer than [`EVICTION_TIMEOUT`]. Unused connections are closed first: clients that send nothing must
-    /// not displace those that send jobs.
+    /// Closes one connection without a complete request. Waits until any connection has closed, but no
+    /// longer than [`EVICTION_TIMEOUT`]. Unused connections are closed first, then those with a first request that
+    /// is incomplete: clients that send nothing, or stop half way, must not displace those that send jobs.
     pub async fn evict_one(&self) {
         let closed = self.closed.listen();
-        if self.evict_unused.notify_additional(1) == 0 {
-            self.evict_idle.notify_additional(1);
-        }
+        self.evict(1);
         timeout_at(Instant::now() + EVICTION_TIMEOUT, closed).await;
     }
 
-    /// Closes connections without a request in progress: as many as are open in excess of `max_open`.
+    /// Closes connections without a complete request: as many as are open in excess of `max_open`.
     pub fn evict_excess(&self, max_open: usize) {
-        let excess = self.open_count().saturating_sub(max_open);
-        let evicted_unused = self.evict_unused.notify_additional(excess);
-        self.evict_idle.notify_additional(excess - evicted_unused);
+        self.evict(self.open_count().saturating_sub(max_open));
+    }
+
+    /// Notifies up to `count` connections without a complete request to close.
+    fn evict(&self, count: usize) {
+        let mut remaining = count;
+        for event in [&self.evict_unused, &self.evict_incomplete, &self.evict_idle] {
+            remaining -= event.notify_additional(remaining);
+        }
     }
 }
--- a/crates/frontend-http1/src/exchange.rs
+++ b/crates/frontend-http1/src/exchange.rs
@@ -1,6 +1,8 @@
 //! One exchange on a downstream connection: reads a request and determines the response to it.
 
-use crate::frontend::Frontend;
+use crate::close_reason::CloseReason;
+use crate::frontend::{Frontend, ReadInterrupt};
+use crate::incomplete_eviction::IncompleteEviction;
 use crate::job_exchange::IncomingJob;
 use crate::parsed_request::ParsedRequest;
 use crate::response::Response;
@@ -29,47 +31,54 @@
 }
 
 /// Reads one request and determines the response to it. The read timeout counts from `read_started_at`.
-/// Returns `None` if the connection is to be closed without a response, as after the client has disconnected.
+/// `has_submitted_job`: an earlier request on the connection was submitted as a job.
+///
+/// # Errors
+/// Why the connection is to be closed without a response, as after the client has disconnected.
 pub async fn serve_request(
     frontend: &Frontend,
     connection: &mut Connection,
     read_started_at: Instant,
-) -> Option<Exchange> {
-    let parsed =
-        frontend.within_read_timeout(read_started_at, ParsedRequest::read(frontend, connection)).await;
+    has_submitted_job: bool,
+) -> Result<Exchange, CloseReason> {
+    let mut eviction = IncompleteEviction::new(frontend, connection, has_submitted_job);
+    let read = ParsedRequest::read(frontend, connection);
+    let parsed = frontend.within_read_timeout(read_started_at, &mut eviction, read).await;
     let ParsedRequest { draft, body_decoder, expects_continue, keeps_alive } = match parsed {
-        None => return Some(Exchange::closing(Response::request_timeout())),
-        Some(Err(error)) => return Response::from_wire_error(error).map(Exchange::closing),
-        Some(Ok(request)) => request,
+        Err(interrupt) => return respond_to_interrupt(interrupt),
+        Ok(Err(error)) => return respond_to_wire_error(error),
+        Ok(Ok(request)) => request,
     };
     match draft {
         Ok(draft) => {
             let job = IncomingJob { draft, body_decoder, expects_continue, read_started_at };
-            let exchange = job.serve(frontend, connection).await?;
-            Some(Exchange { reusable: keeps_alive && exchange.reusable, ..exchange })
+            let exchange = job.serve(frontend, connection, eviction).await?;
+            Ok(Exchange { reusable: keeps_alive && exchange.reusable, ..exchange })
         }
         Err(response) => {
-            let discarded = discard_body(connection, body_decoder, expects_continue);
-            let discarded = frontend.within_read_timeout(read_started_at, discarded).await;
-            respond_without_job(response, discarded, keeps_alive)
+            let discard = discard_body(connection, body_decoder, expects_continue);
+            match frontend.within_read_timeout(read_started_at, &mut eviction, discard).await {
+                Err(interrupt) => respond_to_interrupt(interrupt),
+                Ok(Err(error)) => respond_to_wire_error(error),
+                Ok(Ok(())) => Ok(Exchange { response, reusable: keeps_alive, submitted_job: false }),
+            }
         }
     }
 }
 
-/// The exchange for a request that is no job. `discarded` is the result of reading past the request's body,
-/// `None` after a timeout; `response` is sent only if that succeeded.
-fn respond_without_job(
-    response: Response,
-    discarded: Option<Result<(), WireError>>,
-    keeps_alive: bool,
-) -> Option<Exchange> {
-    match discarded {
-        None => Some(Exchange::closing(Response::request_timeout())),
-        Some(Err(error)) => Response::from_wire_error(error).map(Exchange::closing),
-        Some(Ok(())) => Some(Exchange { response, reusable: keeps_alive, submitted_job: false }),
+/// The exchange for a request that was not received completely.
+fn respond_to_interrupt(interrupt: ReadInterrupt) -> Result<Exchange, CloseReason> {
+    match interrupt {
+        ReadInterrupt::TimedOut => Ok(Exchange::closing(Response::request_timeout())),
+        ReadInterrupt::Evicted => Err(CloseReason::EvictedIncomplete),
     }
 }
 
+/// The exchange for a request that could not be read.
+fn respond_to_wire_error(error: WireError) -> Result<Exchange, CloseReason> {
+    Response::from_wire_error(error).map(Exchange::closing).ok_or(CloseReason::ClientClosedInRequest)
+}
+
 /// Reads and discards the body of a request that is no job, so that the connection can be used for the next
 /// request.
 async fn discard_body(
--- a/crates/frontend-http1/src/frontend.rs
+++ b/crates/frontend-http1/src/frontend.rs
@@ -2,6 +2,7 @@
 
 use crate::counters::Counters;
 use crate::downstream::DownstreamConnections;
+use crate::incomplete_eviction::IncompleteEviction;
 use futures_lite::future::or;
 use sorrelhaven_config::{Config, RequestClass};
 use sorrelhaven_engine::{ConnectionPool, Engine, to_duration};
@@ -17,6 +18,15 @@
 /// incomplete request: they must be closed within 3 s.
 pub(crate) const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// Why reading a request has stopped before its end, although the client has not closed the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReadInterrupt {
+    /// The request was not received in time.
+    TimedOut,
+    /// The connection's descriptor is needed for another connection.
+    Evicted,
+}
+
 /// The HTTP/1.1 front end of one node.
 pub struct Frontend {
     /// The engine that executes the jobs.
@@ -79,17 +89,28 @@
     }
 
     /// Runs `work`, which reads a request, for at most [`REQUEST_READ_TIMEOUT`] from `read_started_at` on.
-    /// Returns `None` on a timeout, or when the read deadline of a drain or shutdown passes.
+    ///
+    /// # Errors
+    /// [`ReadInterrupt::TimedOut`] also when the read deadline of a drain or shutdown passes.
     pub(crate) async fn within_read_timeout<T>(
         &self,
         read_started_at: Instant,
+        eviction: &mut IncompleteEviction<'_>,
         work: impl Future<Output = T>,
-    ) -> Option<T> {
-        or(timeout_at(read_started_at + REQUEST_READ_TIMEOUT, work), async {
+    ) -> Result<T, ReadInterrupt> {
+        let in_time = async {
+            let read = timeout_at(read_started_at + REQUEST_READ_TIMEOUT, work).await;
+            read.ok_or(ReadInterrupt::TimedOut)
+        };
+        let drained = async {
             self.drain_deadline_passed(read_started_at).await;
-            None
-        })
-        .await
+            Err(ReadInterrupt::TimedOut)
+        };
+        let evicted = async {
+            eviction.evicted().await;
+            Err(ReadInterrupt::Evicted)
+        };
+        or(in_time, or(drained, evicted)).await
     }
 
     /// Waits until the read deadline of a drain or shutdown passes for a request whose reading started at
--- a/crates/frontend-http1/src/job_exchange.rs
+++ b/crates/frontend-http1/src/job_exchange.rs
@@ -2,8 +2,10 @@
 //! answer.
 
 use crate::body_reader::{BodyProgress, BodyReader};
+use crate::close_reason::CloseReason;
 use crate::exchange::{CONTINUE, Exchange};
 use crate::frontend::Frontend;
+use crate::incomplete_eviction::IncompleteEviction;
 use crate::request_draft::RequestDraft;
 use crate::response::Response;
 use futures_lite::future::or;
@@ -33,8 +35,8 @@
 
 /// Why a body could not be received.
 enum ReceiveError {
-    /// The client has disconnected, so no response can be sent.
-    ClientDisconnected,
+    /// The connection is to be closed without a response.
+    Closing(CloseReason),
     /// Reading has stopped before the end of the body.
     Incomplete {
         /// The part of the body that was received.
@@ -48,26 +50,35 @@
 
 impl IncomingJob {
     /// Reads the body, submits the job to the engine and waits for its answer. A job whose body is not stored
-    /// is submitted before all of the body has arrived, and the rest is streamed to the worker. Returns
-    /// `None` if the client has disconnected, or if the connection is to be closed without a response.
-    pub async fn serve(self, frontend: &Frontend, connection: &mut Connection) -> Option<Exchange> {
+    /// is submitted before all of the body has arrived, and the rest is streamed to the worker. Until the body has
+    /// been received, the connection may be closed by `eviction`.
+    ///
+    /// # Errors
+    /// Why the connection is to be closed without a response, as after the client has disconnected.
+    pub async fn serve(
+        self,
+        frontend: &Frontend,
+        connection: &mut Connection,
+        mut eviction: IncompleteEviction<'_>,
+    ) -> Result<Exchange, CloseReason> {
         let clock = &frontend.engine.dispatcher_loop.clock;
         let client_deadline = clock.instant(self.draft.deadline);
-        let received = match self.receive_body(frontend, connection, client_deadline).await {
+        let received = self.receive_body(frontend, connection, client_deadline, &mut eviction).await;
+        let ReceivedBody { body, rest } = match received {
             Ok(received) => received,
-            Err(ReceiveError::ClientDisconnected) => return None,
+            Err(ReceiveError::Closing(reason)) => return Err(reason),
             Err(ReceiveError::Incomplete { body, end }) => {
                 return respond_to_incomplete_body(frontend, connection, self.draft, body, end).await;
             }
         };
-        let ReceivedBody { body, rest } = received;
+        drop(eviction);
         let permit = match acquire_body_permit(frontend, connection, &body, client_deadline).await {
             Ok(permit) => permit,
             Err(ClientDisconnected) => {
                 if let Some(reader) = rest {
                     reader.client_disconnected();
                 }
-                return None;
+                return Err(CloseReason::ClientClosedInRequest);
             }
         };
         let mut draft = self.draft;
@@ -76,7 +87,7 @@
         }
         let job = draft.into_job(body.clone(), true, permit, connection.peer_close_detector());
         let Ok(request) = frontend.engine.submit(job) else {
-            return Some(duplicate_request(rest.is_none()));
+            return Ok(duplicate_request(rest.is_none()));
         };
         await_answer(frontend, connection, request, &body, rest).await
     }
@@ -87,6 +98,7 @@
         frontend: &Frontend,
         connection: &mut Connection,
         client_deadline: Instant,
+        eviction: &mut IncompleteEviction<'_>,
     ) -> Result<ReceivedBody, ReceiveError> {
         let budget_group = self.draft.budget_group(frontend);
         let writer = frontend
@@ -96,11 +108,17 @@
             .map_err(|(end, body)| ReceiveError::Incomplete { body, end })?;
         let body = writer.body();
         if self.expects_continue && connection.write(CONTINUE).await.is_err() {
-            return Err(ReceiveError::ClientDisconnected);
+            return Err(ReceiveError::Closing(CloseReason::ClientClosedInRequest));
         }
         let read_started_at = self.read_started_at;
         let reader = BodyReader { body_decoder: self.body_decoder, writer, read_started_at, client_deadline };
-        match read_until_drain_deadline(frontend, connection, reader).await {
+        let read = read_until_drain_deadline(frontend, connection, reader);
+        let evicted = async {
+            eviction.evicted().await;
+            BodyProgress::Evicted
+        };
+        match or(read, evicted).await {
+            BodyProgress::Evicted => Err(ReceiveError::Closing(CloseReason::EvictedIncomplete)),
             BodyProgress::Complete => Ok(ReceivedBody { body, rest: None }),
             BodyProgress::ReadyToStream(reader) => Ok(ReceivedBody { body, rest: Some(reader) }),
             BodyProgress::Incomplete(end) => Err(ReceiveError::Incomplete { body, end }),
@@ -162,7 +180,7 @@
     request: RequestHandle,
     body: &RequestBody,
     rest: Option<BodyReader>,
-) -> Option<Exchange> {
+) -> Result<Exchange, CloseReason> {
     let answer = async { Ok(request.answer().await) };
     let interrupted = async { Err(stream_until_disconnected(frontend, connection, rest).await) };
     match or(answer, interrupted).await {
@@ -170,12 +188,12 @@
             // If the answer came before the end of the body, the rest of the body is still to arrive and
             // could be taken for the next request.
             let reusable = body.end().is_some_and(BodyEnd::is_complete);
-            Some(Exchange { response: Response::from_answer(answer), reusable, submitted_job: true })
+            Ok(Exchange { response: Response::from_answer(answer), reusable, submitted_job: true })
         }
         Err(end) => {
             request.client_disconnected();
-            let response = Response::from_body_end(end)?;
-            Some(Exchange { response, reusable: false, submitted_job: true })
+            let response = Response::from_body_end(end).ok_or(CloseReason::ClientClosedInRequest)?;
+            Ok(Exchange { response, reusable: false, submitted_job: true })
         }
     }
 }
@@ -205,16 +223,17 @@
     draft: RequestDraft,
     body: RequestBody,
     end: BodyEnd,
-) -> Option<Exchange> {
+) -> Result<Exchange, CloseReason> {
     if !is_storage_failure(end) {
-        return Response::from_body_end(end).map(Exchange::closing);
+        let response = Response::from_body_end(end).ok_or(CloseReason::ClientClosedInRequest)?;
+        return Ok(Exchange::closing(response));
     }
     let job = draft.into_job(body, false, None, connection.peer_close_detector());
     let Ok(request) = frontend.engine.submit(job) else {
-        return Some(duplicate_request(false));
+        return Ok(duplicate_request(false));
     };
     let response = Response::from_answer(request.answer().await);
-    Some(Exchange { response, reusable: false, submitted_job: true })
+    Ok(Exchange { response, reusable: false, submitted_job: true })
 }
 
 /// Whether the body could not be stored and the settings reject such requests.
--- a/crates/frontend-http1/src/lib.rs
+++ b/crates/frontend-http1/src/lib.rs
@@ -29,6 +29,7 @@
 mod downstream;
 mod exchange;
 mod frontend;
+mod incomplete_eviction;
 mod job_exchange;
 mod listen;
 mod parsed_request;
--- a/crates/wire/src/peer_close_detector.rs
+++ b/crates/wire/src/peer_close_detector.rs
@@ -21,7 +21,16 @@
     /// Whether the peer has closed, half-closed or reset the connection, even if input that was sent before
     /// is still unread. Does not wait.
     pub fn has_closed(&self) -> bool {
-        let mut events = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+        self.has_event(PollFlags::RDHUP)
+    }
+
+    /// Whether the system holds input that was not read yet, or the end of the input. Does not wait.
+    pub fn has_unread_input(&self) -> bool {
+        self.has_event(PollFlags::IN)
+    }
+
+    fn has_event(&self, event: PollFlags) -> bool {
+        let mut events = [PollFd::new(&*self.stream, event)];
         loop {
             let error = match poll(&mut events, Some(&NO_WAIT)) {
                 Ok(ready) => return ready > 0,
