Buffers of connections and windows of bodies stay within the memory limit

What callers saw: a process over limits.memory_mb is killed, and with it all requests that it had taken.

Cause (class: memory that grows with the number of peers and that no limit counts): a buffer of up to 128 KiB, with a capacity of 256 KiB, for what a client sends behind a request; a buffer and a chunk of 64 KiB each, kept while the rest of a body is awaited; the window of a body that is not stored; the whole body of a request that is no job; a line of up to 256 KiB of each worker's response, and buffers of pooled connections that were never shrunk. Only bodies in memory were counted.

Excluded: heads of very many short fields, which add nothing (the parser refuses them after 64); answers that clients do not read (the system takes them).

Change: a connection holds 4 KiB of a message freely and reserves more from a budget (BufferBudget). A reservation waits for room, and one at a time may use a part that is kept back, so that half messages can't block each other for ever. Bodies are read into the body store without a buffer between, in blocks whose capacity follows what has arrived; bodies that are no job are discarded as they come. A head is parsed when its end may have arrived or its length has doubled, not for each piece. A test of the body store read a block in one call, which now takes several; it checks the same bytes.

--- a/crates/admin/src/caller.rs
+++ b/crates/admin/src/caller.rs
@@ -2,7 +2,7 @@
 
 use crate::command::{AdminCommand, CommandError, CommandReader};
 use crate::service::AdminService;
-use sorrelhaven_wire::{Connection, WireError, timeout_at};
+use sorrelhaven_wire::{BufferBudget, Connection, WireError, timeout_at};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use tracing::debug;
@@ -20,7 +20,7 @@
 /// Reads one command from `stream`, executes it and sends the reply. Sends no reply if the client closes the
 /// connection before it has sent anything, or if the connection fails.
 pub async fn serve_connection(service: &AdminService, stream: TcpStream) {
-    let Ok(mut connection) = Connection::accepted(stream).await else { return };
+    let Ok(mut connection) = Connection::accepted(stream, &BufferBudget::unlimited()).await else { return };
     let read_deadline = Instant::now() + COMMAND_READ_TIMEOUT;
     let command = match timeout_at(read_deadline, read_command(&mut connection)).await {
         Some(Some(command)) => command,
--- a/crates/body-store/src/block_buffer.rs
+++ b/crates/body-store/src/block_buffer.rs
@@ -7,6 +7,10 @@
 /// reader returns at most one block at a time.
 pub const BLOCK_BYTES: usize = 64 * 1024;
 
+/// Unless the end of the body is closer, the capacity of a block grows by at least this many bytes: a body of which
+/// only a part arrives must not occupy the memory of a whole block.
+const CAPACITY_STEP_BYTES: usize = 8 * 1024;
+
 /// Consecutive bytes of a body, beginning at the offset [`BlockBuffer::start`]. All blocks but the last are
 /// full.
 #[derive(Default)]
@@ -23,14 +27,15 @@
     }
 
     /// Appends bytes. `remaining` is the number of bytes up to the end of the body, these included, if the
-    /// length is known. It bounds the capacity of new blocks, so that a short body does not allocate a full
-    /// block.
+    /// length is known: no capacity is allocated beyond it.
     pub(crate) fn append(&mut self, mut bytes: &[u8], mut remaining: Option<u64>) {
         while !bytes.is_empty() {
-            let room = self.room_in_last_block(bytes.len(), remaining);
+            let room = self.room_in_last_block();
             let (head, rest) = bytes.split_at(room.min(bytes.len()));
             if let Some(block) = self.blocks.back_mut() {
-                Arc::make_mut(block).extend_from_slice(head);
+                let block = Arc::make_mut(block);
+                reserve(block, head.len(), remaining);
+                block.extend_from_slice(head);
             }
             remaining = remaining.map(|remaining| remaining.saturating_sub(head.len() as u64));
             bytes = rest;
@@ -38,15 +43,13 @@
     }
 
     /// The number of bytes that fit into the last block. Adds a block if there is none or the last is full.
-    fn room_in_last_block(&mut self, bytes: usize, remaining: Option<u64>) -> usize {
+    fn room_in_last_block(&mut self) -> usize {
         if let Some(block) = self.blocks.back()
             && block.len() < BLOCK_BYTES
         {
             return BLOCK_BYTES - block.len();
         }
-        let remaining = remaining.unwrap_or(bytes as u64);
-        let capacity = remaining.clamp(bytes.min(BLOCK_BYTES) as u64, BLOCK_BYTES as u64);
-        self.blocks.push_back(Arc::new(Vec::with_capacity(capacity as usize)));
+        self.blocks.push_back(Arc::default());
         BLOCK_BYTES
     }
 
@@ -87,3 +90,13 @@
         block.map_or(&[], |block| &block[(position % BLOCK_BYTES).min(block.len())..])
     }
 }
+
+/// Reserves capacity for `additional` bytes of a block. `remaining`: the number of bytes up to the end of the body.
+fn reserve(block: &mut Vec<u8>, additional: usize, remaining: Option<u64>) {
+    if block.capacity() - block.len() >= additional {
+        return;
+    }
+    let to_end = remaining.and_then(|remaining| usize::try_from(remaining).ok()).unwrap_or(usize::MAX);
+    let to_block_end = BLOCK_BYTES - block.len();
+    block.reserve_exact(additional.max(CAPACITY_STEP_BYTES.min(to_end).min(to_block_end)));
+}
--- a/crates/body-store/src/body.rs
+++ b/crates/body-store/src/body.rs
@@ -7,11 +7,16 @@
 use crate::plan::{BodyId, StoragePlan};
 use crate::resources::{FilePermit, SharedResources};
 use event_listener::Event;
+use sorrelhaven_wire::BufferReservation;
 use std::cell::{RefCell, RefMut};
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 
+/// The most bytes in memory that are read at a time. The reader holds a copy for as long as its worker takes to read
+/// it.
+const MAX_READ_BYTES: usize = 16 * 1024;
+
 /// Identifies a reader among the readers of one body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ReaderId(u64);
@@ -48,6 +53,8 @@
     /// The bytes in memory: all that follow the part in the file and have not been released.
     pub(crate) memory: BlockBuffer,
     pub(crate) file: Option<OpenFile>,
+    /// The reservation for bytes in memory that the memory budget does not count; `None` while it counts all.
+    pub(crate) window: Option<BufferReservation>,
     /// The number of bytes, from the start of the body, that were written to the file.
     pub(crate) file_bytes: u64,
     /// The CRC-32 of each block in the file, in the order of the blocks.
@@ -115,10 +122,11 @@
         Some(StoredBlock { file, offset, length, checksum: self.checksums[index as usize] })
     }
 
-    /// The bytes in memory from `offset` on, at most a block. A piece that begins with stored bytes ends
+    /// The bytes in memory from `offset` on, at most [`MAX_READ_BYTES`]. A piece that begins with stored bytes ends
     /// where they end, since the bytes after that may go to a single reader only.
     pub(crate) fn next_piece(&self, offset: u64) -> &[u8] {
         let piece = self.memory.block_from(offset);
+        let piece = &piece[..piece.len().min(MAX_READ_BYTES)];
         match self.not_stored_from {
             Some(from) if offset < from => &piece[..piece.len().min((from - offset) as usize)],
             _ => piece,
--- a/crates/body-store/src/lib.rs
+++ b/crates/body-store/src/lib.rs
@@ -13,7 +13,7 @@
 //! | `disk_health` | disables the disk for a time after failures. No I/O; callers pass the time |
 //! | `decision` | the types in which these decisions are expressed |
 //! | `store` | entry point: all bodies of a node |
-//! | `resources` | what the bodies share: plan, disk, file descriptors, thread pool, counters |
+//! | `resources` | what the bodies share: plan, disk, permits, thread pool, counters |
 //! | `body`, `block_buffer`, `body_file` | one body: its state, its blocks in memory, its file |
 //! | `writer`, `reader`, `request_body` | the writing end, the reading end, and the handle of the request |
 //! | `spiller` | background task that moves bodies from memory to files while memory is short |
@@ -23,9 +23,9 @@
 //! | `settings` | converts the operators' settings to the limits of the plan |
 //!
 //! ```
-//! use sorrelhaven_body_store::{BodyStore, BodyEnd};
+//! use sorrelhaven_body_store::{BodyEnd, SharedBudgets, BodyStore};
 //!
-//! let store = BodyStore::new(&Default::default(), 1, None, || None);
+//! let store = BodyStore::new(&Default::default(), 1, None, SharedBudgets::unlimited());
 //! async_io::block_on(async {
 //!     let mut writer = store.begin_upload(0, Some(4)).map_err(|(end, _)| end)?;
 //!     let body = writer.body();
@@ -68,6 +68,6 @@
 pub use plan::{BodyId, DiskFailure, FileLimits, RegisteredBody, StorageLimits, StoragePlan, StorageUsage};
 pub use reader::RequestBodyReader;
 pub use request_body::RequestBody;
-pub use resources::FilePermit;
+pub use resources::{FilePermit, SharedBudgets};
 pub use store::BodyStore;
 pub use writer::BodyWriter;
--- a/crates/body-store/src/resources.rs
+++ b/crates/body-store/src/resources.rs
@@ -9,8 +9,10 @@
 use crate::settings;
 use event_listener::Event;
 use sorrelhaven_config::{BodySettings, NotStoredPolicy};
+use sorrelhaven_wire::{BufferBudget, BufferReservation};
 use std::any::Any;
 use std::cell::{Cell, RefCell, RefMut};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
 use tracing::warn;
@@ -18,13 +20,29 @@
 /// Permission to keep one file descriptor open. Dropping it returns the descriptor to the node's budget.
 pub type FilePermit = Box<dyn Any>;
 
+/// The budgets of the node that bodies share with its connections.
+pub struct SharedBudgets {
+    /// Grants a permit for a file descriptor; `None` if the budget of descriptors is used up. Called before a file
+    /// is created.
+    pub file_permits: Box<dyn Fn() -> Option<FilePermit>>,
+    /// The memory for the part of a body that is in memory although the body is in a file or not stored.
+    pub windows: Rc<BufferBudget>,
+}
+
+impl SharedBudgets {
+    /// Budgets without a limit.
+    pub fn unlimited() -> SharedBudgets {
+        SharedBudgets { file_permits: Box::new(|| Some(Box::new(()))), windows: BufferBudget::unlimited() }
+    }
+}
+
 /// Shared by the store, its bodies, its writers and its readers.
 pub(crate) struct SharedResources {
     plan: RefCell<StoragePlan>,
     disk: RefCell<Option<Arc<dyn Disk>>>,
     /// Whether bodies that can't be stored are rejected, instead of being streamed to a single reader.
     rejects_unstorable: Cell<bool>,
-    acquire_permit: Box<dyn Fn() -> Option<FilePermit>>,
+    budgets: SharedBudgets,
     pub(crate) pool: BlockingPool,
     /// The start of the plan's time.
     started_at: Instant,
@@ -38,14 +56,14 @@
         settings: &BodySettings,
         budget_groups: usize,
         disk: Option<Arc<dyn Disk>>,
-        acquire_permit: impl Fn() -> Option<FilePermit> + 'static,
+        budgets: SharedBudgets,
     ) -> SharedResources {
         let limits = settings::limits(settings, disk.is_some());
         SharedResources {
             plan: RefCell::new(StoragePlan::new(limits, budget_groups)),
             disk: RefCell::new(disk),
             rejects_unstorable: Cell::new(settings.not_stored == NotStoredPolicy::Reject),
-            acquire_permit: Box::new(acquire_permit),
+            budgets,
             pool: BlockingPool::new(),
             started_at: Instant::now(),
             memory_pressure: Event::new(),
@@ -73,8 +91,13 @@
         self.disk.borrow().clone()
     }
 
-    pub(crate) fn acquire_permit(&self) -> Option<FilePermit> {
-        (self.acquire_permit)()
+    pub(crate) fn acquire_file_permit(&self) -> Option<FilePermit> {
+        (self.budgets.file_permits)()
+    }
+
+    /// A reservation of no bytes for a body that is in a file or not stored.
+    pub(crate) fn new_window(&self) -> BufferReservation {
+        self.budgets.windows.reservation()
     }
 
     pub(crate) fn rejects_unstorable(&self) -> bool {
--- a/crates/body-store/src/store.rs
+++ b/crates/body-store/src/store.rs
@@ -5,7 +5,7 @@
 use crate::disk::Disk;
 use crate::plan::StorageUsage;
 use crate::request_body::RequestBody;
-use crate::resources::{FilePermit, SharedResources};
+use crate::resources::{SharedBudgets, SharedResources};
 use crate::writer::BodyWriter;
 use sorrelhaven_config::BodySettings;
 use std::cell::Cell;
@@ -22,17 +22,16 @@
 
 impl BodyStore {
     /// Creates an empty store. `budget_groups` is the number of pairs of class and tenant, each of which is
-    /// guaranteed an equal part of the budgets. `disk` is the configured directory, if there is one.
-    /// `acquire_permit` is called before a file is created; `None` means that the node's budget of file
-    /// descriptors is used up, and the body is then not stored.
+    /// guaranteed an equal part of the budgets. `disk` is the configured directory, if there is one. A body
+    /// without a file permit is not stored; one without memory for its window is rejected.
     pub fn new(
         settings: &BodySettings,
         budget_groups: usize,
         disk: Option<Arc<dyn Disk>>,
-        acquire_permit: impl Fn() -> Option<FilePermit> + 'static,
+        budgets: SharedBudgets,
     ) -> Rc<BodyStore> {
         Rc::new(BodyStore {
-            resources: Rc::new(SharedResources::new(settings, budget_groups, disk, acquire_permit)),
+            resources: Rc::new(SharedResources::new(settings, budget_groups, disk, budgets)),
             bodies: BodyRegistry::default(),
             min_upload_bytes_per_second: Cell::new(settings.slowest_bytes_per_s),
         })
--- a/crates/body-store/src/writer.rs
+++ b/crates/body-store/src/writer.rs
@@ -55,7 +55,7 @@
     pub(crate) fn apply_initial_decision(&self, decision: StorageDecision) -> Result<(), BodyEnd> {
         match decision {
             StorageDecision::Store(tier) => {
-                self.shared.state.borrow_mut().tier = tier;
+                self.set_tier(tier);
                 Ok(())
             }
             StorageDecision::NotStored(reason) => self.stop_storing(reason),
@@ -63,6 +63,34 @@
         }
     }
 
+    /// Reserves memory for a piece of a body that is in a file or not stored, which the memory budget does not count:
+    /// for the caller's copy and for the one in the buffer.
+    ///
+    /// # Errors
+    /// The budget is used up, and the upload has ended.
+    fn reserve_window(&self, piece_length: usize) -> Result<(), BodyEnd> {
+        let uncounted = usize::try_from(self.uncounted_bytes()).unwrap_or(usize::MAX);
+        let needed = uncounted.saturating_add(2 * piece_length);
+        let has_room = {
+            let state = &mut *self.shared.state.borrow_mut();
+            let window = state.window.get_or_insert_with(|| self.shared.resources.new_window());
+            window.grow_now(needed)
+        };
+        if has_room { Ok(()) } else { Err(self.end(BodyEnd::BudgetExhausted)) }
+    }
+
+    /// The bytes of a body in a file or not stored that are in memory, and that the memory budget does not count.
+    fn uncounted_bytes(&self) -> u64 {
+        match self.tier() {
+            StorageTier::Memory => 0,
+            StorageTier::File => {
+                let state = self.shared.state.borrow();
+                state.received_bytes - state.memory.start()
+            }
+            StorageTier::NotStored => self.unread_bytes(),
+        }
+    }
+
     /// Appends the next piece. Waits while blocks are written to the file. If the body is not stored, waits
     /// until less than a block of unstored bytes is unread.
     ///
@@ -78,6 +106,7 @@
             StorageDecision::NotStored(reason) => {
                 self.stop_storing(reason)?;
                 self.wait_for_reader().await;
+                self.reserve_window(bytes.len())?;
                 self.append(bytes);
             }
         }
@@ -90,7 +119,9 @@
     pub async fn finish(mut self) -> BodyEnd {
         if self.tier() == StorageTier::File {
             // After a failed write the remaining blocks are still in memory, so the body is complete even so.
-            let _ = self.flush(true).await;
+            if self.flush(true).await.is_ok() {
+                self.shared.state.borrow_mut().window = None;
+            }
         }
         let is_stored = self.shared.state.borrow().not_stored_from.is_none();
         let tier = if is_stored { self.tier() } else { StorageTier::NotStored };
@@ -118,6 +149,7 @@
         let mut state = self.shared.state.borrow_mut();
         state.memory.clear();
         state.file = None;
+        state.window = None;
         let mut plan = self.shared.plan();
         plan.release_memory(self.shared.id, u64::MAX);
         plan.release_file(self.shared.id);
@@ -137,6 +169,9 @@
 
     async fn store_piece(&mut self, bytes: &[u8], tier: StorageTier) -> Result<(), BodyEnd> {
         self.set_tier(tier);
+        if tier == StorageTier::File {
+            self.reserve_window(bytes.len())?;
+        }
         self.append(bytes);
         self.shared.resources.wake_spiller();
         if tier != StorageTier::File {
@@ -206,7 +241,7 @@
     async fn create_file(&self) -> Result<(), NotStoredReason> {
         let resources = &self.shared.resources;
         let disk = resources.disk().ok_or(NotStoredReason::Budget)?;
-        let permit = resources.acquire_permit().ok_or(NotStoredReason::Budget)?;
+        let permit = resources.acquire_file_permit().ok_or(NotStoredReason::Budget)?;
         let call = move || {
             let free_bytes = disk.free_bytes()?;
             Ok::<_, io::Error>((free_bytes, disk.create_file()?))
--- a/crates/body-store/tests/compatibility.rs
+++ b/crates/body-store/tests/compatibility.rs
@@ -3,7 +3,9 @@
 //! recognised.
 
 use futures_lite::future::block_on;
-use sorrelhaven_body_store::{BodyEnd, BodyReadError, BodyStore, Directory, Disk, DiskFile, RequestBody};
+use sorrelhaven_body_store::{
+    BodyEnd, BodyReadError, BodyStore, Directory, Disk, DiskFile, RequestBody, SharedBudgets,
+};
 use sorrelhaven_config::{BodyFiles, BodyMemory, BodySettings};
 use sorrelhaven_test_support::ScratchDir;
 use std::io;
@@ -91,7 +93,7 @@
         files: BodyFiles { each_bytes: 1 << 20, total_bytes: 1 << 22, ..BodyFiles::default() },
         ..BodySettings::default()
     };
-    BodyStore::new(&settings, 1, Some(Arc::new(disk.clone())), || Some(Box::new(())))
+    BodyStore::new(&settings, 1, Some(Arc::new(disk.clone())), SharedBudgets::unlimited())
 }
 
 async fn write_to_file(store: &Rc<BodyStore>, bytes: &[u8]) -> RequestBody {
--- a/crates/body-store/tests/store.rs
+++ b/crates/body-store/tests/store.rs
@@ -4,8 +4,8 @@
 use futures_lite::future::{block_on, or, poll_once, zip};
 use proptest::prelude::*;
 use sorrelhaven_body_store::{
-    BLOCK_BYTES, BodyEnd, BodyReadError, BodyStore, BodyWriter, RequestBody, RequestBodyReader, StorageTier,
-    StorageUsage,
+    BLOCK_BYTES, BodyEnd, BodyReadError, BodyStore, BodyWriter, RequestBody, RequestBodyReader,
+    SharedBudgets, StorageTier, StorageUsage,
 };
 use sorrelhaven_config::{BodyFiles, BodyMemory, BodySettings, NotStoredPolicy};
 use sorrelhaven_test_support::{FakeDisk, check_cases, sample_bytes};
@@ -42,7 +42,12 @@
 }
 
 fn store(settings: &BodySettings, disk: &FakeDisk) -> Rc<BodyStore> {
-    BodyStore::new(settings, 1, Some(Arc::new(disk.clone())), || Some(Box::new(())))
+    BodyStore::new(settings, 1, Some(Arc::new(disk.clone())), SharedBudgets::unlimited())
+}
+
+/// Permits of a node without a free descriptor for a file.
+fn no_files() -> SharedBudgets {
+    SharedBudgets { file_permits: Box::new(|| None), ..SharedBudgets::unlimited() }
 }
 
 async fn write(mut writer: BodyWriter, bytes: &[u8], piece_length: usize) -> Result<BodyEnd, BodyEnd> {
@@ -313,7 +318,7 @@
 /// however fast the body arrives.
 #[test]
 fn a_body_that_is_not_stored_waits_for_its_reader() {
-    let store = BodyStore::new(&settings(tier(64 * KIB, MIB), tier(MIB, MIB)), 1, None, || None);
+    let store = BodyStore::new(&settings(tier(64 * KIB, MIB), tier(MIB, MIB)), 1, None, no_files());
     let mut writer = store.begin_upload(0, Some(10 * MIB)).ok().expect("the body is not rejected");
     let body = writer.body();
     assert_eq!(body.tier(), StorageTier::NotStored);
@@ -325,7 +330,9 @@
             "the writer waits before a second unread block"
         );
         let (mut reader, mut out) = (body.reader(), Vec::new());
-        assert_eq!(reader.read_next(&mut out).await, Ok(true));
+        while out.len() < BLOCK_BYTES {
+            assert_eq!(reader.read_next(&mut out).await, Ok(true));
+        }
         assert!(reader.is_consumer() && body.is_consumed());
         assert!(poll_once(reader.read_next(&mut out)).await.is_none());
         writer.push(&sent).await.expect("the body is not rejected");
@@ -343,7 +350,7 @@
 fn a_body_without_a_descriptor_for_its_file_waits_for_its_reader() {
     let disk = FakeDisk::new(64 * MIB);
     let settings = settings(tier(64 * KIB, MIB), tier(8 * MIB, 64 * MIB));
-    let store = BodyStore::new(&settings, 1, Some(Arc::new(disk.clone())), || None);
+    let store = BodyStore::new(&settings, 1, Some(Arc::new(disk.clone())), no_files());
     let mut writer = store.begin_upload(0, None).ok().expect("the body is not rejected");
     let body = writer.body();
     let sent = sample_bytes(BLOCK_BYTES, 1);
@@ -367,7 +374,7 @@
 /// Until a reader has received a byte that is not stored, another reader can still read the complete body.
 #[test]
 fn the_stored_front_of_a_body_can_be_read_again() {
-    let store = BodyStore::new(&settings(tier(128 * KIB, 128 * KIB), tier(MIB, MIB)), 1, None, || None);
+    let store = BodyStore::new(&settings(tier(128 * KIB, 128 * KIB), tier(MIB, MIB)), 1, None, no_files());
     let mut writer = store.begin_upload(0, None).ok().expect("the body is not rejected");
     let body = writer.body();
     let sent = sample_bytes(200_000, 2);
@@ -410,7 +417,7 @@
     let mut rejecting = settings(tier(64 * KIB, 64 * KIB), tier(MIB, MIB));
     rejecting.largest_bytes = MIB;
     rejecting.not_stored = NotStoredPolicy::Reject;
-    let store = BodyStore::new(&rejecting, 1, None, || None);
+    let store = BodyStore::new(&rejecting, 1, None, no_files());
     for (length, end) in [(MIB + 1, BodyEnd::TooLarge), (MIB, BodyEnd::BudgetExhausted)] {
         let (found, body) = store.begin_upload(0, Some(length)).err().expect("the body is rejected");
         assert_eq!((found, body.end()), (end, Some(end)));
--- a/crates/engine/src/connection_pool.rs
+++ b/crates/engine/src/connection_pool.rs
@@ -4,7 +4,7 @@
 use crate::counters::Counters;
 use crate::descriptor_budget::{DescriptorBudget, DescriptorPermit};
 use sorrelhaven_dispatcher::WorkerId;
-use sorrelhaven_wire::{Connection, SocketCall, SocketFailure, classify};
+use sorrelhaven_wire::{BufferBudget, Connection, SocketCall, SocketFailure, classify};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -55,6 +55,8 @@
 pub struct ConnectionPool {
     /// The budget of descriptors that upstream connections, downstream connections and body files share.
     pub descriptors: Rc<DescriptorBudget>,
+    /// The memory for the buffers of upstream connections.
+    buffers: Rc<BufferBudget>,
     /// The workers' keep-alive timeout from the settings, less the margin.
     configured_idle_timeout: Duration,
     shortened_idle_timeout: Cell<Option<ShortenedIdleTimeout>>,
@@ -64,15 +66,17 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool. `keepalive`: workers close connections that have been idle for this long.
+    /// Creates an empty pool, whose connections take the memory for their buffers from `buffers`. `keepalive`: workers close connections that have been idle for this long.
     pub fn new(
         descriptors: Rc<DescriptorBudget>,
+        buffers: Rc<BufferBudget>,
         keepalive: Duration,
         counters: Rc<Counters>,
     ) -> ConnectionPool {
         let margin = KEEPALIVE_MARGIN.min(keepalive / 2);
         ConnectionPool {
             descriptors,
+            buffers,
             configured_idle_timeout: keepalive.saturating_sub(margin),
             shortened_idle_timeout: Cell::new(None),
             idle: RefCell::default(),
@@ -127,19 +131,21 @@
     pub async fn connect(&self, address: SocketAddr) -> Result<PooledConnection, AttemptEnd> {
         let permit = self.acquire_descriptor().ok_or(AttemptEnd::NoDescriptor)?;
         self.counters.upstream_connections.increment();
-        let connection = Connection::connect(address).await.map_err(|error| {
-            match classify(SocketCall::Connect, &error) {
-                SocketFailure::DescriptorLimit | SocketFailure::Shortage => AttemptEnd::NoDescriptor,
-                SocketFailure::Interrupted | SocketFailure::NotReady | SocketFailure::Connection => {
-                    AttemptEnd::Unreachable
+        let connection =
+            Connection::connect(address, &self.buffers).await.map_err(|error| {
+                match classify(SocketCall::Connect, &error) {
+                    SocketFailure::DescriptorLimit | SocketFailure::Shortage => AttemptEnd::NoDescriptor,
+                    SocketFailure::Interrupted | SocketFailure::NotReady | SocketFailure::Connection => {
+                        AttemptEnd::Unreachable
+                    }
                 }
-            }
-        })?;
+            })?;
         Ok(PooledConnection { connection, idle_time: None, address, _permit: permit })
     }
 
     /// Returns a connection to the pool after a complete exchange. Closes it if it cannot be reused.
-    pub fn check_in(&self, worker: WorkerId, upstream: PooledConnection) {
+    pub fn check_in(&self, worker: WorkerId, mut upstream: PooledConnection) {
+        upstream.connection.release_memory();
         if upstream.connection.has_unsolicited_input() {
             return;
         }
--- a/crates/engine/src/discovery_poll.rs
+++ b/crates/engine/src/discovery_poll.rs
@@ -5,7 +5,9 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use futures_lite::future::{or, poll_fn};
-use sorrelhaven_wire::{Connection, Head, JsonObjectEvent, JsonObjectReader, StartLine, timeout_at};
+use sorrelhaven_wire::{
+    BufferBudget, Connection, Head, JsonObjectEvent, JsonObjectReader, StartLine, timeout_at,
+};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::task::Poll;
@@ -46,7 +48,7 @@
     /// A [`WatchError`] if no response with status 200 begins within [`READ_TIMEOUT`].
     pub async fn open(discovery: SocketAddr, query: &str) -> Result<ListStream, WatchError> {
         let deadline = Instant::now() + READ_TIMEOUT;
-        let connection = timeout_at(deadline, Connection::connect(discovery))
+        let connection = timeout_at(deadline, Connection::connect(discovery, &BufferBudget::unlimited()))
             .await
             .ok_or(WatchError::NoResponse)?
             .map_err(|_| WatchError::Unreachable)?;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -11,6 +11,7 @@
 use crate::dispatcher_loop::DispatcherLoop;
 use crate::job::Job;
 use crate::load_report::LoadReportFields;
+use crate::memory_limits::{MemoryLimits, process_bytes};
 use crate::memory_monitor::MemoryMonitor;
 use crate::probe;
 use crate::request_admission::{DuplicateRequestId, RequestAdmission, RequestHandle};
@@ -20,7 +21,7 @@
 use crate::worker_registry::WorkerRegistry;
 use async_channel::Receiver;
 use async_io::Timer;
-use sorrelhaven_body_store::{BodyStore, Disk, FilePermit};
+use sorrelhaven_body_store::{BodyStore, Disk, FilePermit, SharedBudgets};
 use sorrelhaven_config::{Config, DiscoveryList};
 use sorrelhaven_dispatcher::{Event, Idempotency, Lifecycle, WorkerId, WorkerListUpdate};
 use std::cell::RefCell;
@@ -36,8 +37,6 @@
 const DRAIN_GRACE_ALLOWANCE: Duration = Duration::from_millis(50);
 /// The connect timeout if the settings have none.
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// The unit of `limits.memory_mb`.
-const BYTES_PER_MB: u64 = 1 << 20;
 
 /// One node without its front ends: accepts jobs and answers each once.
 pub struct Engine {
@@ -53,6 +52,8 @@
     pub body_admission: BodyAdmission,
     /// The node's counters.
     pub counters: Rc<Counters>,
+    /// The memory that the buffers of connections may use.
+    pub memory_limits: Rc<MemoryLimits>,
     /// Compares the memory of the process with its limit.
     pub memory_monitor: Rc<MemoryMonitor>,
     request_admission: RequestAdmission,
@@ -75,8 +76,9 @@
             probe_requests,
             counters.responsiveness.clone(),
         ));
-        let upstreams = Rc::new(new_upstreams(config, &tasks, &counters));
-        let bodies = new_body_store(config, disk, &upstreams);
+        let memory_limits = Rc::new(MemoryLimits::new(config));
+        let upstreams = Rc::new(new_upstreams(config, &tasks, &counters, &memory_limits));
+        let bodies = new_body_store(config, disk, &upstreams, &memory_limits);
         let request_context = Rc::new(RequestContext {
             dispatcher_loop: dispatcher_loop.clone(),
             upstreams: upstreams.clone(),
@@ -98,7 +100,8 @@
             upstreams,
             bodies,
             counters,
-            memory_monitor: Rc::new(MemoryMonitor::new(memory_limit_bytes(config))),
+            memory_limits,
+            memory_monitor: Rc::new(MemoryMonitor::new(process_bytes(config))),
             request_admission,
             probes,
             backoff: Backoff::new(config.seed, config.drain_grace, config.max_list_staleness),
@@ -131,6 +134,12 @@
         self.tasks.spawn(async move { evict_expired_connections(&upstreams.pool).await });
     }
 
+    /// Applies changed limits of memory.
+    pub fn configure_memory(&self, config: &Config) {
+        self.memory_limits.configure(config);
+        self.memory_monitor.set_limit(process_bytes(config));
+    }
+
     /// Admits a job and starts the task of its request.
     ///
     /// # Errors
@@ -176,11 +185,6 @@
     }
 }
 
-/// The number of bytes that the process may use.
-fn memory_limit_bytes(config: &Config) -> u64 {
-    config.memory_mb.saturating_mul(BYTES_PER_MB)
-}
-
 async fn evict_expired_connections(pool: &ConnectionPool) {
     loop {
         Timer::after(EVICTION_INTERVAL).await;
@@ -188,7 +192,12 @@
     }
 }
 
-fn new_upstreams(config: &Config, tasks: &Rc<Tasks>, counters: &Rc<Counters>) -> Upstreams {
+fn new_upstreams(
+    config: &Config,
+    tasks: &Rc<Tasks>,
+    counters: &Rc<Counters>,
+    memory_limits: &MemoryLimits,
+) -> Upstreams {
     let descriptors = DescriptorBudget::new(config.max_descriptors);
     let connect_timeout = match config.settings.limits.connect_timeout {
         0 => DEFAULT_CONNECT_TIMEOUT,
@@ -196,7 +205,12 @@
     };
     Upstreams {
         registry: WorkerRegistry::new(config.names.clone()),
-        pool: ConnectionPool::new(descriptors, to_duration(config.idle_timeout), counters.clone()),
+        pool: ConnectionPool::new(
+            descriptors,
+            memory_limits.upstream.clone(),
+            to_duration(config.idle_timeout),
+            counters.clone(),
+        ),
         tasks: tasks.clone(),
         counters: counters.clone(),
         load_report_fields: LoadReportFields::new(config.load_fields.clone()),
@@ -205,16 +219,24 @@
     }
 }
 
-/// Creates the body store. Each pair of class and tenant is a budget group of it, and its files take
-/// descriptors from the node's budget.
-fn new_body_store(config: &Config, disk: Option<Arc<dyn Disk>>, upstreams: &Rc<Upstreams>) -> Rc<BodyStore> {
+/// Creates the body store. Each pair of class and tenant is a budget group of it. Its files take descriptors from
+/// the node's budget, and its bodies that are not stored in memory take memory from that of body windows.
+fn new_body_store(
+    config: &Config,
+    disk: Option<Arc<dyn Disk>>,
+    upstreams: &Rc<Upstreams>,
+    memory_limits: &MemoryLimits,
+) -> Rc<BodyStore> {
     let budget_groups = config.classes.len() * config.tenants.len().max(1);
     let upstreams = upstreams.clone();
-    let acquire_descriptor = move || {
-        let permit = upstreams.pool.acquire_descriptor()?;
-        Some(Box::new(permit) as FilePermit)
+    let budgets = SharedBudgets {
+        file_permits: Box::new(move || {
+            let permit = upstreams.pool.acquire_descriptor()?;
+            Some(Box::new(permit) as FilePermit)
+        }),
+        windows: memory_limits.body_windows.clone(),
     };
-    BodyStore::new(&config.operator.bodies, budget_groups, disk, acquire_descriptor)
+    BodyStore::new(&config.operator.bodies, budget_groups, disk, budgets)
 }
 
 /// For each class in the order of the settings: whether its requests must not run twice.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -27,6 +27,7 @@
 //! | `invariants` | run-time checks of properties that hold for every request |
 //! | `attempt_end` | every way an attempt can end, and the outcome that the dispatcher receives |
 //! | `responsiveness` | event loop delays |
+//! | `memory_limits` | the memory that the buffers of connections may use |
 //! | `memory_monitor`, `process_memory` | the memory of the process, compared with its limit |
 //! | `clock`, `metric` | the clock of dispatcher events; counters and maxima |
 //!
@@ -58,6 +59,7 @@
 mod invariants;
 mod job;
 mod load_report;
+mod memory_limits;
 mod memory_monitor;
 mod metric;
 mod probe;
@@ -85,6 +87,7 @@
 pub use engine::Engine;
 pub use invariants::{Invariant, Invariants, RequestChecks, SentAttempt, WorkerDrain};
 pub use job::{Answer, Job, RequestMessage, RequestPayload};
+pub use memory_limits::MemoryLimits;
 pub use memory_monitor::MemoryMonitor;
 pub use metric::{Counter, MaxDuration};
 pub use process_memory::ProcessMemory;
--- a/crates/engine/src/probe.rs
+++ b/crates/engine/src/probe.rs
@@ -31,7 +31,7 @@
     connection.write(request.as_bytes()).await.map_err(|_| AttemptEnd::ResetBeforeSent)?;
     let head = connection.read_head(Head::parse_response).await.map_err(AttemptEnd::unreadable)?;
     let body = head.body_decoder().map_err(AttemptEnd::unreadable)?;
-    connection.read_body(body).await.map_err(AttemptEnd::unreadable)?;
+    connection.discard_body(body).await.map_err(AttemptEnd::unreadable)?;
     match head.start_line {
         StartLine::Response { status: 200 } => {}
         _ => return Err(AttemptEnd::Failed),
--- a/crates/engine/src/request_writer.rs
+++ b/crates/engine/src/request_writer.rs
@@ -43,6 +43,7 @@
         let mut chunk = Vec::new();
         let mut output = Vec::new();
         let mut body_bytes = 0;
+        let mut unyielded_bytes = 0;
         let mut head_built = false;
         let mut consumption_reported = false;
         let mut has_more = true;
@@ -67,7 +68,9 @@
             if length == Some(body_bytes) {
                 return Ok(());
             }
-            if output.len() >= BLOCK_BYTES {
+            unyielded_bytes += output.len();
+            if unyielded_bytes >= BLOCK_BYTES {
+                unyielded_bytes = 0;
                 // Large bodies must not delay small requests.
                 self.upstreams.tasks.yield_to_small_requests().await;
             }
--- a/crates/engine/src/response_reader.rs
+++ b/crates/engine/src/response_reader.rs
@@ -81,7 +81,7 @@
             status,
             is_rejection,
             keeps_alive: head.keeps_alive(),
-            lines: LineReader::new(body, MAX_JOB_LINE_BYTES),
+            lines: LineReader::new(body, MAX_JOB_LINE_BYTES, connection.new_reservation()),
             head_load_report: head.get_unique("Server-Load").map(str::to_string),
             line_load_report: None,
         })
--- a/crates/engine/src/tests/overdue_request.rs
+++ b/crates/engine/src/tests/overdue_request.rs
@@ -2,7 +2,7 @@
 
 use super::fixtures;
 use crate::job::Answer;
-use sorrelhaven_wire::{Connection, timeout_at};
+use sorrelhaven_wire::{BufferBudget, Connection, timeout_at};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -18,7 +18,8 @@
     let client = TcpStream::connect(clients.local_addr().expect("the listener has an address"))
         .expect("the client connects");
     let (accepted, _) = clients.accept().expect("the listener accepts");
-    let connection = async_io::block_on(Connection::accepted(accepted)).expect("the socket can be set up");
+    let connection = async_io::block_on(Connection::accepted(accepted, &BufferBudget::unlimited()))
+        .expect("the socket can be set up");
     // Nothing reads from the connection, so the disconnect is not reported to the request.
     drop(client);
     let deadline = engine.dispatcher_loop.clock.now() + 200_000;
--- a/crates/frontend-http1/src/accept.rs
+++ b/crates/frontend-http1/src/accept.rs
@@ -140,7 +140,8 @@
 
 /// Serves an accepted connection, closes it, and returns why.
 async fn serve_accepted(frontend: &Frontend, stream: TcpStream) -> CloseReason {
-    match Connection::accepted(stream).await {
+    let buffers = &frontend.engine.memory_limits.downstream;
+    match Connection::accepted(stream, buffers).await {
         Ok(mut connection) => serve_connection(frontend, &mut connection).await,
         Err(error) => {
             frontend.counters.accepts_failed.increment();
--- a/crates/frontend-http1/src/body_reader.rs
+++ b/crates/frontend-http1/src/body_reader.rs
@@ -3,25 +3,27 @@
 use crate::frontend::{Frontend, REQUEST_READ_TIMEOUT};
 use futures_lite::future::or;
 use sorrelhaven_body_store::{BLOCK_BYTES, BodyEnd, BodyWriter, StorageTier};
-use sorrelhaven_wire::{BodyDecoder, Connection, WireError, timeout_at};
+use sorrelhaven_wire::{BodyDecoder, Connection, PIECE_BYTES, WireError, timeout_at};
 use std::time::{Duration, Instant};
 
-/// The bytes of a body that must have arrived before it is streamed to a worker, if it is not stored. Guards
-/// against clients that declare a large body and send little of it: each would occupy a worker that waits for
-/// the rest.
+/// The bytes of a body that must have arrived before it is streamed to a worker, if it is not stored: as many as
+/// the body store keeps unread. Guards against clients that declare a large body and stop half way: each would
+/// occupy a worker that waits for the rest.
 const MIN_STREAMED_BYTES: u64 = BLOCK_BYTES as u64 / 2;
 
 /// Reads one body from its connection and passes it to the body store.
 pub struct BodyReader {
     /// Decodes the rest of the body, by its declared length or in the chunked coding.
-    pub body_decoder: BodyDecoder,
+    body_decoder: BodyDecoder,
     /// Passes the body to the body store.
-    pub writer: BodyWriter,
+    writer: BodyWriter,
     /// The time from which the upload deadline counts: when reading the request started, plus the time for
     /// which the node itself has delayed the client.
-    pub read_started_at: Instant,
+    read_started_at: Instant,
     /// The deadline of the request's answer, after which the body is not needed.
-    pub client_deadline: Instant,
+    client_deadline: Instant,
+    /// The bytes that were transferred since small requests were last given a turn.
+    unyielded_bytes: usize,
 }
 
 /// The result of reading a body until it is complete or can be streamed.
@@ -43,6 +45,17 @@
 }
 
 impl BodyReader {
+    /// A reader that decodes the body with `body_decoder` and passes it to `writer`. The upload deadline counts from
+    /// `read_started_at`; after `client_deadline` the body is not needed.
+    pub fn new(
+        body_decoder: BodyDecoder,
+        writer: BodyWriter,
+        read_started_at: Instant,
+        client_deadline: Instant,
+    ) -> BodyReader {
+        BodyReader { body_decoder, writer, read_started_at, client_deadline, unyielded_bytes: 0 }
+    }
+
     /// Reads the body until it is complete, or until it can be streamed because it is not stored and
     /// [`MIN_STREAMED_BYTES`] of it have arrived.
     pub async fn read_until_streamable(
@@ -50,12 +63,11 @@
         frontend: &Frontend,
         connection: &mut Connection,
     ) -> BodyProgress {
-        let mut chunk = Vec::new();
         while !self.is_ready_to_stream() {
-            match self.transfer_chunk(frontend, connection, &mut chunk).await {
+            match self.transfer_chunk(frontend, connection).await {
                 Ok(Transfer::More) => {}
                 Ok(Transfer::Complete) => {
-                    self.finish(connection).await;
+                    self.writer.finish().await;
                     return BodyProgress::Complete;
                 }
                 Err(end) => return BodyProgress::Incomplete(self.writer.end(end)),
@@ -67,12 +79,11 @@
     /// Reads the rest of a body that is not stored, no faster than it is sent to the worker. Returns how the
     /// upload ended.
     pub async fn stream_rest(mut self, frontend: &Frontend, connection: &mut Connection) -> BodyEnd {
-        let mut chunk = Vec::new();
         loop {
-            match self.transfer_chunk(frontend, connection, &mut chunk).await {
+            match self.transfer_chunk(frontend, connection).await {
                 Ok(Transfer::More) => {}
                 Ok(Transfer::Complete) => {
-                    self.finish(connection).await;
+                    self.writer.finish().await;
                     return BodyEnd::Streamed;
                 }
                 Err(end) => return self.writer.end(end),
@@ -90,27 +101,24 @@
             && self.writer.body().tier() == StorageTier::NotStored
     }
 
-    async fn finish(self, connection: &mut Connection) {
-        connection.shrink_buffer();
-        self.writer.finish().await;
-    }
-
-    /// Reads the next chunk from the connection and passes it to the writer. `chunk` is the buffer, which is
-    /// reused from call to call.
+    /// Reads the next chunk from the connection and passes it to the writer. The chunk is not kept while the next
+    /// one is awaited, so that a client that stops half way occupies no memory but that of the body store.
     async fn transfer_chunk(
         &mut self,
         frontend: &Frontend,
         connection: &mut Connection,
-        chunk: &mut Vec<u8>,
     ) -> Result<Transfer, BodyEnd> {
-        chunk.clear();
-        if !self.read_chunk(frontend, connection, chunk).await? {
+        let mut chunk = Vec::new();
+        if !self.read_chunk(frontend, connection, &mut chunk).await? {
             return Ok(Transfer::Complete);
         }
         for block in chunk.chunks(BLOCK_BYTES) {
             self.write_block(connection, block).await?;
         }
-        if self.writer.received_bytes() >= BLOCK_BYTES as u64 {
+        self.unyielded_bytes += chunk.len();
+        drop(chunk);
+        if self.unyielded_bytes >= BLOCK_BYTES {
+            self.unyielded_bytes = 0;
             frontend.engine.tasks.yield_to_small_requests().await;
         }
         Ok(Transfer::More)
@@ -127,7 +135,9 @@
         let upload_deadline =
             bodies.upload_deadline(self.read_started_at, REQUEST_READ_TIMEOUT, self.writer.received_bytes());
         let deadline = upload_deadline.min(self.client_deadline);
-        match timeout_at(deadline, connection.read_body_chunk(&mut self.body_decoder, chunk)).await {
+        let max_bytes = self.max_chunk_bytes();
+        let read = connection.read_body_chunk(&mut self.body_decoder, chunk, max_bytes);
+        match timeout_at(deadline, read).await {
             None => Err(BodyEnd::TooSlow),
             Some(Ok(more)) => Ok(more),
             Some(Err(WireError::BodyTooLarge)) => Err(BodyEnd::TooLarge),
@@ -135,6 +145,14 @@
         }
     }
 
+    /// The greatest length of the next chunk: small if the chunk may be held while the writer waits.
+    fn max_chunk_bytes(&self) -> usize {
+        match self.writer.body().tier() {
+            StorageTier::Memory => BLOCK_BYTES,
+            StorageTier::File | StorageTier::NotStored => PIECE_BYTES,
+        }
+    }
+
     /// Passes a block to the writer, which may wait for the disk or for the worker to which the body is
     /// streamed.
     async fn write_block(&mut self, connection: &Connection, block: &[u8]) -> Result<(), BodyEnd> {
--- a/crates/frontend-http1/src/connection.rs
+++ b/crates/frontend-http1/src/connection.rs
@@ -41,6 +41,7 @@
         if let Err(reason) = send_response(frontend, connection, exchange).await {
             return reason;
         }
+        connection.release_memory();
         // Without this, a client that sends requests without a pause would starve the other clients.
         yield_now().await;
     }
--- a/crates/frontend-http1/src/exchange.rs
+++ b/crates/frontend-http1/src/exchange.rs
@@ -86,11 +86,8 @@
     body_decoder: BodyDecoder,
     expects_continue: bool,
 ) -> Result<(), WireError> {
-    if matches!(body_decoder, BodyDecoder::Length(length) if length > MAX_BODY_BYTES) {
-        return Err(WireError::BodyTooLarge);
-    }
-    if expects_continue {
+    if expects_continue && !matches!(body_decoder, BodyDecoder::Length(length) if length > MAX_BODY_BYTES) {
         connection.write(CONTINUE).await?;
     }
-    connection.read_body(body_decoder).await.map(drop)
+    connection.discard_body(body_decoder).await
 }
--- a/crates/frontend-http1/src/job_exchange.rs
+++ b/crates/frontend-http1/src/job_exchange.rs
@@ -110,9 +110,8 @@
         if self.expects_continue && connection.write(CONTINUE).await.is_err() {
             return Err(ReceiveError::Closing(CloseReason::ClientClosedInRequest));
         }
-        let read_started_at = self.read_started_at;
-        let reader = BodyReader { body_decoder: self.body_decoder, writer, read_started_at, client_deadline };
-        let read = read_until_drain_deadline(frontend, connection, reader);
+        let reader = BodyReader::new(self.body_decoder, writer, self.read_started_at, client_deadline);
+        let read = read_until_drain_deadline(frontend, connection, reader, self.read_started_at);
         let evicted = async {
             eviction.evicted().await;
             BodyProgress::Evicted
@@ -144,8 +143,8 @@
     frontend: &Frontend,
     connection: &mut Connection,
     reader: BodyReader,
+    read_started_at: Instant,
 ) -> BodyProgress {
-    let read_started_at = reader.read_started_at;
     or(reader.read_until_streamable(frontend, connection), async {
         frontend.drain_deadline_passed(read_started_at).await;
         BodyProgress::Incomplete(BodyEnd::TooSlow)
--- a/crates/node/benches/bodies.rs
+++ b/crates/node/benches/bodies.rs
@@ -7,7 +7,7 @@
 //! - the peak resident memory while 64 clients send 8 MB bodies at the same time;
 //! - the 99th percentile of the response times of small jobs, under that load and without it.
 
-use sorrelhaven_body_store::{BodyEnd, BodyStore, Directory};
+use sorrelhaven_body_store::{BodyEnd, BodyStore, Directory, SharedBudgets};
 use sorrelhaven_config::{BodyFiles, BodyMemory, BodySettings};
 use sorrelhaven_test_support::{
     FakeWorkers, Program, ScratchDir, TestRequest, WorkerBehavior, workers_config,
@@ -180,7 +180,7 @@
         ..BodySettings::default()
     };
     let directory = Directory::open(&scratch.path("spool"), "bench").expect("the directory can be used");
-    let bodies = BodyStore::new(&settings, 1, Some(Arc::new(directory)), || Some(Box::new(())));
+    let bodies = BodyStore::new(&settings, 1, Some(Arc::new(directory)), SharedBudgets::unlimited());
     let executor = async_executor::LocalExecutor::new();
     let started_at = Instant::now();
     async_io::block_on(executor.run(async {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -39,7 +39,7 @@
     pub fn print_counters(&self) {
         let counters = self.engine.counters.metrics().into_iter();
         let counters = counters.chain(self.frontend.counters.metrics()).chain(self.engine.bodies.metrics());
-        let counters = counters.chain(memory_metrics());
+        let counters = counters.chain(self.engine.memory_limits.metrics()).chain(memory_metrics());
         eprintln!("{}", counter_report(self.format, counters));
     }
 
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -47,6 +47,7 @@
             warn!("membership settings changed, restart required");
         }
         self.descriptors.set_node_limit(next.max_descriptors);
+        self.engine.configure_memory(&next);
         if next.discovery != self.config.discovery {
             // Cannot fail: the channel is unbounded, and its receiver lives as long as the node.
             let _ = self.discovery_changes.try_send(next.discovery);
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -26,6 +26,16 @@
 }
 
 impl BodyDecoder {
+    /// The number of bytes of input that are content only, as far as the framing says; 0 if the next byte of input
+    /// is framing.
+    pub fn remaining_content(&self) -> usize {
+        match *self {
+            BodyDecoder::Length(remaining) | BodyDecoder::Chunk(remaining) => remaining,
+            BodyDecoder::UntilClosed => usize::MAX,
+            BodyDecoder::ChunkSize | BodyDecoder::ChunkEnd | BodyDecoder::Trailer | BodyDecoder::Done => 0,
+        }
+    }
+
     /// Appends the content that `input` holds to `content`, and returns how many bytes of `input` were
     /// consumed. A framing line that is incomplete at the end of `input` is not consumed; it must be passed
     /// again with more input. Bytes after the body are not consumed.
--- a/crates/wire/src/json_objects.rs
+++ b/crates/wire/src/json_objects.rs
@@ -4,6 +4,8 @@
 use crate::connection::Connection;
 use crate::error::WireError;
 
+/// The most input that is read before it is split.
+const MAX_PIECE_BYTES: usize = 64 * 1024;
 /// The greatest nesting depth of objects and arrays.
 const MAX_DEPTH: usize = 64;
 
@@ -65,7 +67,7 @@
     async fn read_more(&mut self, connection: &mut Connection) -> Result<bool, WireError> {
         self.consumed = 0;
         self.input.clear();
-        connection.read_body_chunk(&mut self.decoder, &mut self.input).await
+        connection.read_body_chunk(&mut self.decoder, &mut self.input, MAX_PIECE_BYTES).await
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod body;
+mod buffer_budget;
 mod connect;
 mod connection;
 mod deadline;
@@ -29,7 +30,8 @@
 mod retry;
 
 pub use body::BodyDecoder;
-pub use connection::{Connection, MAX_BODY_BYTES};
+pub use buffer_budget::{BufferBudget, BufferReservation, UNRESERVED_BYTES};
+pub use connection::{Connection, MAX_BODY_BYTES, PIECE_BYTES};
 pub use deadline::timeout_at;
 pub use errno::{SocketCall, SocketFailure, classify};
 pub use error::WireError;
