Bodies that are not stored reach a worker only once 64 KiB have arrived

What callers saw: while clients stopped in the middle of bodies that were not stored, other clients waited for up to 2 s: a few such clients occupied all workers (16 requests of the bystander in 2.5 s, instead of 250).

Cause: a body that is not stored went to a worker from 32 KiB on. Clients that stopped after 63 KiB held a worker each until their deadline. The body store keeps 64 KiB of such a body unread in any case, so that the platform's largest body (64 KiB) can arrive completely before a worker is chosen.

Change: the threshold is the window, 64 KiB.

--- a/crates/frontend-http1/src/body_reader.rs
+++ b/crates/frontend-http1/src/body_reader.rs
@@ -9,7 +9,7 @@
 /// The bytes of a body that must have arrived before it is streamed to a worker, if it is not stored: as many as
 /// the body store keeps unread. Guards against clients that declare a large body and stop half way: each would
 /// occupy a worker that waits for the rest.
-const MIN_STREAMED_BYTES: u64 = BLOCK_BYTES as u64 / 2;
+const MIN_STREAMED_BYTES: u64 = BLOCK_BYTES as u64;
 
 /// Reads one body from its connection and passes it to the body store.
 pub struct BodyReader {
