--- a/crates/node/tests/races/main.rs
+++ b/crates/node/tests/races/main.rs
@@ -4,5 +4,6 @@
 mod client_disconnect;
 mod flooding;
 mod peers;
+mod repeated_ids;
 mod shutdown;
 mod worker_changes;
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -4,6 +4,7 @@
     AT_MOST_ONCE_CLASS, DeliveryChecker, FakeWorkers, Program, ScratchDir, TestRequest, WorkerBehavior,
     open_listener, workers_config,
 };
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -11,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 const CLIENT_COUNT: usize = 12;
 
@@ -248,6 +250,50 @@
     new.terminate();
 }
 
+/// A payment that the old process has sent must not be sent by the new one, when it comes again under the same id: not
+/// while it is in progress, nor after its client has left, nor after the old process has ended or was killed.
+#[test]
+fn an_id_that_one_process_has_sent_is_not_sent_by_the_other() {
+    let platform = Platform::new("same-id");
+    platform.workers.set_default_behavior(WorkerBehavior::DoneAfterMillis(300));
+    let address = platform.address.to_string();
+    let payment = |id: &str| TestRequest::new(id, AT_MOST_ONCE_CLASS, b"body".to_vec());
+    let connect = || TcpStream::connect(&address).expect("the connection is not refused");
+    let old = platform.start();
+    // Connections to the old process, made while it is the only one.
+    let (mut in_progress, mut abandoned, mut killed) = (connect(), connect(), connect());
+    for (stream, id) in [(&mut in_progress, "warm-0"), (&mut abandoned, "warm-1"), (&mut killed, "warm-2")] {
+        assert_eq!(payment(id).send_on(stream).expect("the request is answered").status, 200);
+    }
+    let send_head = |stream: &mut TcpStream, id: &str| {
+        let text = payment(id).head() + "body";
+        stream.write_all(text.as_bytes()).expect("the node reads the bytes");
+        while platform.workers.executions_of(id).is_empty() {
+            thread::yield_now();
+        }
+    };
+    send_head(&mut abandoned, "abandoned");
+    drop(abandoned);
+    let new = platform.start();
+    send_head(&mut in_progress, "in-progress");
+    send_head(&mut killed, "killed");
+    // The old process no longer accepts: what comes on a new connection goes to the new one.
+    old.signal("TERM");
+    thread::sleep(Duration::from_millis(50));
+    for id in ["in-progress", "abandoned", "killed"] {
+        let response = payment(id).send(&address).expect("the request is answered");
+        assert_eq!((id, response.status), (id, 409));
+    }
+    drop(old);
+    for id in ["in-progress", "abandoned", "killed", "warm-0"] {
+        let response = payment(id).send(&address).expect("the request is answered");
+        assert_eq!((id, response.status), (id, 409));
+        assert_eq!(platform.workers.executions_of(id).len(), 1, "{id} ran twice");
+    }
+    assert_eq!(payment("new").send(&address).expect("the request is answered").status, 200);
+    new.terminate();
+}
+
 /// The limit on descriptors must hold for both processes together, also with hundreds of clients that send
 /// nothing.
 #[test]
