--- a/crates/node/tests/overload/main.rs
+++ b/crates/node/tests/overload/main.rs
@@ -2,5 +2,7 @@
 
 mod bystander;
 mod crowd;
+mod flood;
 mod memory;
 mod node;
+mod turns;
--- a/crates/node/tests/overload/node.rs
+++ b/crates/node/tests/overload/node.rs
@@ -2,11 +2,14 @@
 
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use sorrelhaven_test_support::{FakeWorkers, Program, ScratchDir, workers_config};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Command;
 
 /// The unit of `limits.memory_mb`.
 pub const BYTES_PER_MB: u64 = 1 << 20;
+/// The number of fake workers.
+const WORKERS: usize = 6;
 /// Name of the node's temporary directory in its scratch directory.
 const TEMPORARY_DIRECTORY: &str = "tmp";
 
@@ -26,11 +29,18 @@
 }
 
 impl Node {
+    /// Starts a node that knows [`WORKERS`] workers.
     pub fn start(limits: Limits, name: &str) -> Node {
+        Node::start_with_entries(limits, WORKERS, name)
+    }
+
+    /// Starts a node whose worker list has this many entries. Several of them have the address of the same worker.
+    pub fn start_with_entries(limits: Limits, entries: usize, name: &str) -> Node {
         raise_descriptor_limit();
-        let workers = FakeWorkers::new(6);
+        let workers = FakeWorkers::new(WORKERS);
         let scratch = ScratchDir::new(name);
-        let config = workers_config(&workers.addresses).replace(
+        let addresses: Vec<SocketAddr> = workers.addresses.iter().copied().cycle().take(entries).collect();
+        let config = workers_config(&addresses).replace(
             r#""sockets":1024,"memory_mb":192"#,
             &format!(r#""sockets":{},"memory_mb":{}"#, limits.sockets, limits.memory_mb),
         );
