An id that must not run twice is claimed before its request is admitted

What callers saw: a payment ran twice when its id came again after its client had left, and when it came to the other process of an upgrade while the first one had sent it.

Cause (class: a guard that is forgotten with the object that it guards): ids were known only while their request was in progress, and only to the process that had it (request_admission.rs, ids_in_progress). When a client leaves, its attempt is cancelled and the request ends, but the worker may have run it.

Change: the ids of classes that are not idempotent are claimed in a table of fixed size when the request is admitted, and stay claimed unless the request is proven not to have run. Where the platform holds the listener, the processes share the table in a file, which outlives a process that is killed. Without access to it a request is answered 500 and not run.

Related paths checked: a request that comes again after its answer (the same fault, the same fix); ids of requests that were rejected or whose client left before they were sent (served again); idempotent classes (unchanged).

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -14,7 +14,7 @@
 use crate::memory_limits::{MemoryLimits, process_bytes};
 use crate::memory_monitor::MemoryMonitor;
 use crate::probe;
-use crate::request_admission::{DuplicateRequestId, RequestAdmission, RequestHandle};
+use crate::request_admission::{AdmissionError, RequestAdmission, RequestHandle};
 use crate::request_task::RequestContext;
 use crate::tasks::Tasks;
 use crate::upstreams::Upstreams;
@@ -23,7 +23,8 @@
 use async_io::Timer;
 use sorrelhaven_body_store::{BodyStore, Disk, FilePermit, SharedBudgets};
 use sorrelhaven_config::{Config, DiscoveryList};
-use sorrelhaven_dispatcher::{Event, Idempotency, Lifecycle, WorkerId, WorkerListUpdate};
+use sorrelhaven_dispatcher::{Event, Lifecycle, WorkerId, WorkerListUpdate};
+use sorrelhaven_handover::ClaimTable;
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -56,6 +57,8 @@
     pub memory_limits: Rc<MemoryLimits>,
     /// Compares the memory of the process with its limit.
     pub memory_monitor: Rc<MemoryMonitor>,
+    /// The ids of requests that must not run twice.
+    pub claims: Rc<ClaimTable>,
     request_admission: RequestAdmission,
     probes: Receiver<WorkerId>,
     backoff: Backoff,
@@ -79,16 +82,18 @@
         let memory_limits = Rc::new(MemoryLimits::new(config));
         let upstreams = Rc::new(new_upstreams(config, &tasks, &counters, &memory_limits));
         let bodies = new_body_store(config, disk, &upstreams, &memory_limits);
+        let claims = Rc::new(ClaimTable::in_memory());
         let request_context = Rc::new(RequestContext {
             dispatcher_loop: dispatcher_loop.clone(),
             upstreams: upstreams.clone(),
             counters: counters.clone(),
             tasks: tasks.clone(),
             ids_in_progress: RefCell::new(HashSet::new()),
+            claims: claims.clone(),
         });
         let request_admission = RequestAdmission::new(
             request_context,
-            at_most_once_classes(config),
+            config.settings.classes.iter().map(|class| class.idempotency).collect(),
             config.settings.limits.rejection_may_have_run,
         );
         let known_workers = upstreams.registry.apply(&config.known_workers, dispatcher_loop.clock.now());
@@ -102,6 +107,7 @@
             counters,
             memory_limits,
             memory_monitor: Rc::new(MemoryMonitor::new(process_bytes(config))),
+            claims,
             request_admission,
             probes,
             backoff: Backoff::new(config.seed, config.drain_grace, config.max_list_staleness),
@@ -143,8 +149,8 @@
     /// Admits a job and starts the task of its request.
     ///
     /// # Errors
-    /// [`DuplicateRequestId`] if a request with the same id is in progress.
-    pub fn submit(&self, job: Job) -> Result<RequestHandle, DuplicateRequestId> {
+    /// As [`RequestAdmission::admit`].
+    pub fn submit(&self, job: Job) -> Result<RequestHandle, AdmissionError> {
         self.request_admission.admit(job)
     }
 
@@ -239,12 +245,6 @@
     BodyStore::new(&config.operator.bodies, budget_groups, disk, budgets)
 }
 
-/// For each class in the order of the settings: whether its requests must not run twice.
-fn at_most_once_classes(config: &Config) -> Vec<bool> {
-    let classes = config.settings.classes.iter();
-    classes.map(|class| class.idempotency == Idempotency::NotIdempotent).collect()
-}
-
 fn discovery_mode(config: &Config) -> DiscoveryMode {
     if config.settings.worker_list_needs_watch {
         DiscoveryMode::SharedService
--- a/crates/engine/src/invariants.rs
+++ b/crates/engine/src/invariants.rs
@@ -160,7 +160,8 @@
         invariants.check(Invariant::NoRejectionAfterRun, request, retry_is_harmless);
     }
 
-    fn may_have_run(&self) -> bool {
+    /// Whether an attempt was fully sent and is not proven not to have run.
+    pub fn may_have_run(&self) -> bool {
         self.attempts_sent.get() > self.attempts_proven_not_run.get()
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,7 +8,7 @@
 //! | module | purpose |
 //! | --- | --- |
 //! | `engine` | creates the parts of a node and starts its tasks |
-//! | `request_admission` | registers new requests and rejects duplicate ids |
+//! | `request_admission` | registers new requests; refuses ids that are in progress, or must not run twice and may have run |
 //! | `request_task` | the task of one request, from arrival to answer |
 //! | `attempt`, `probe` | one attempt at a job; one probe of a worker |
 //! | `request_writer`, `response_reader` | writes the request to a worker; reads its response |
@@ -91,7 +91,7 @@
 pub use memory_monitor::MemoryMonitor;
 pub use metric::{Counter, MaxDuration};
 pub use process_memory::ProcessMemory;
-pub use request_admission::{DuplicateRequestId, RequestHandle};
+pub use request_admission::{AdmissionError, RequestHandle};
 pub use responsiveness::{LONG_STEP_THRESHOLD, Responsiveness};
 pub use tasks::Tasks;
 pub use upstreams::Upstreams;
--- a/crates/engine/src/request_admission.rs
+++ b/crates/engine/src/request_admission.rs
@@ -6,10 +6,11 @@
 use crate::job::{Answer, Job, RequestMessage, RequestState};
 use crate::request_task::{NewRequest, RequestContext, RequestTask};
 use async_channel::{Receiver, Sender};
-use sorrelhaven_dispatcher::{Arrival, RequestId};
+use sorrelhaven_dispatcher::{Arrival, Idempotency, RequestId};
+use sorrelhaven_handover::ClaimError;
 use std::fmt;
 use std::rc::Rc;
-use tracing::debug;
+use tracing::{debug, warn};
 
 /// The front end's handle of a request in progress: delivers the answer, and reports a disconnected client.
 pub struct RequestHandle {
@@ -30,50 +31,59 @@
     }
 }
 
-/// A request was not admitted because another request with the same id is in progress.
+/// Why a request was not admitted. Nothing was sent for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DuplicateRequestId;
+pub enum AdmissionError {
+    /// Another request with the same id is in progress, or must not run twice and may have run.
+    DuplicateId,
+    /// Whether the request may have run is unknown, since the table of claimed ids cannot be read or written.
+    ClaimsUnavailable,
+}
 
-impl fmt::Display for DuplicateRequestId {
+impl fmt::Display for AdmissionError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a request with the same id is already in progress")
+        formatter.write_str(match self {
+            AdmissionError::DuplicateId => "a request with the same id is in progress, or may have run",
+            AdmissionError::ClaimsUnavailable => "the table of claimed ids cannot be used",
+        })
     }
 }
 
-impl std::error::Error for DuplicateRequestId {}
+impl std::error::Error for AdmissionError {}
 
 /// Admits requests, except those whose id is in use.
 pub struct RequestAdmission {
     context: Rc<RequestContext>,
-    at_most_once: Vec<bool>,
+    /// For each class in the order of the settings.
+    idempotency: Vec<Idempotency>,
     rejection_may_have_run: bool,
 }
 
 impl RequestAdmission {
     /// Creates an admission of requests whose tasks share `context`.
     ///
-    /// `at_most_once`: for each class in the order of the settings, whether its requests must not run twice.
+    /// `idempotency`: that of each class in the order of the settings.
     /// `rejection_may_have_run`: a worker's rejection does not prove that the attempt never ran.
     pub fn new(
         context: Rc<RequestContext>,
-        at_most_once: Vec<bool>,
+        idempotency: Vec<Idempotency>,
         rejection_may_have_run: bool,
     ) -> RequestAdmission {
-        RequestAdmission { context, at_most_once, rejection_may_have_run }
+        RequestAdmission { context, idempotency, rejection_may_have_run }
     }
 
     /// Admits a request and starts its task.
     ///
     /// # Errors
-    /// [`DuplicateRequestId`] if a request with the same id is in progress. Workers identify jobs by this id,
-    /// so they would reject the second one or confuse it with the first.
-    pub fn admit(&self, job: Job) -> Result<RequestHandle, DuplicateRequestId> {
-        let is_new = self.context.ids_in_progress.borrow_mut().insert(job.payload.id.clone());
-        if !is_new {
+    /// [`AdmissionError::DuplicateId`] if a request with the same id is in progress: workers identify jobs by this id,
+    /// so they would reject the second one or confuse it with the first. The same if its class is not idempotent and
+    /// an earlier request with this id may have run, also in another process of this node.
+    /// [`AdmissionError::ClaimsUnavailable`] if the latter is unknown.
+    pub fn admit(&self, job: Job) -> Result<RequestHandle, AdmissionError> {
+        self.claim_id(&job).inspect_err(|error| {
             self.context.counters.duplicate_ids.increment();
-            debug!(id = %job.payload.id, "request refused: its id is in progress");
-            return Err(DuplicateRequestId);
-        }
+            debug!(id = %job.payload.id, %error, "request refused");
+        })?;
         debug!(id = %job.payload.id, class = job.class, "request admitted");
         let (messages, receiver) = async_channel::unbounded();
         let (answer_sender, answer) = async_channel::bounded(1);
@@ -86,6 +96,34 @@
         Ok(RequestHandle { messages, answer })
     }
 
+    /// Marks the id of a request as in progress and, if it must not run twice, claims it.
+    fn claim_id(&self, job: &Job) -> Result<(), AdmissionError> {
+        let id = &job.payload.id;
+        let is_new = self.context.ids_in_progress.borrow_mut().insert(id.clone());
+        if !is_new {
+            return Err(AdmissionError::DuplicateId);
+        }
+        if !self.needs_claim(job.class) {
+            return Ok(());
+        }
+        self.context.claims.claim(id).map_err(|error| {
+            self.context.ids_in_progress.borrow_mut().remove(id);
+            match error {
+                ClaimError::Taken => AdmissionError::DuplicateId,
+                ClaimError::Unavailable(error) => {
+                    warn!(%id, %error, "the table of claimed ids cannot be used");
+                    AdmissionError::ClaimsUnavailable
+                }
+            }
+        })
+    }
+
+    /// Whether the ids of a class are claimed: a second run would have an effect. An unknown class is treated as not
+    /// idempotent.
+    fn needs_claim(&self, class: usize) -> bool {
+        self.idempotency.get(class) != Some(&Idempotency::Idempotent)
+    }
+
     fn new_request(&self, id: RequestId, job: Job) -> NewRequest {
         let state = RequestState {
             client_close_detector: job.client_close_detector,
@@ -95,6 +133,7 @@
         NewRequest {
             id,
             class: job.class,
+            is_claimed: self.needs_claim(job.class),
             deadline: job.deadline,
             payload: Rc::new(job.payload),
             body_permit: job.body_permit,
@@ -104,8 +143,8 @@
 
     /// The run-time checks of a new request. An unknown class is treated as at-most-once.
     fn checks(&self, class: usize) -> RequestChecks {
-        let at_most_once = self.at_most_once.get(class).copied().unwrap_or(true);
-        RequestChecks::new(at_most_once, self.rejection_may_have_run)
+        let idempotency = self.idempotency.get(class).unwrap_or(&Idempotency::NotIdempotent);
+        RequestChecks::new(*idempotency == Idempotency::NotIdempotent, self.rejection_may_have_run)
     }
 }
 
--- a/crates/engine/src/request_task.rs
+++ b/crates/engine/src/request_task.rs
@@ -17,6 +17,7 @@
 use async_io::Timer;
 use futures_lite::future::{or, ready};
 use sorrelhaven_dispatcher::{Arrival, Event, Micros, RequestId, WorkerId};
+use sorrelhaven_handover::ClaimTable;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -58,6 +59,8 @@
     pub tasks: Rc<Tasks>,
     /// The ids of the requests in progress.
     pub ids_in_progress: RefCell<HashSet<Rc<str>>>,
+    /// The ids of requests that must not run twice: those in progress, and those that may have run.
+    pub claims: Rc<ClaimTable>,
 }
 
 /// A request as it is admitted.
@@ -66,6 +69,8 @@
     pub id: RequestId,
     /// The index of the request's class in the settings.
     pub class: usize,
+    /// Whether the request's id is claimed, so that it is not sent again once it may have run.
+    pub is_claimed: bool,
     /// When the answer must be sent to the client, in dispatcher time.
     pub deadline: Micros,
     /// The request that is sent to workers.
@@ -296,6 +301,16 @@
         }
     }
 
+    /// Gives up the claim of the request's id if it has not run, so that its client may send it again.
+    fn release_claim(&self) {
+        if !self.request.is_claimed || self.request.state.checks.may_have_run() {
+            return;
+        }
+        if let Err(error) = self.context.claims.release(self.client_request_id()) {
+            warn!(id = %self.client_request_id(), %error, "the claim of an id could not be released");
+        }
+    }
+
     /// Passes the answer to the front end, unless the request is already concluded.
     fn answer(&mut self, answer: Answer) {
         if self.request.state.concluded.replace(true) {
@@ -347,6 +362,7 @@
             // the client.
             counters.request_concluded(self.request.class, RequestEnd::Failed);
         }
+        self.release_claim();
         self.context.dispatcher_loop.deregister_request(self.request.id);
         self.context.ids_in_progress.borrow_mut().remove(self.client_request_id());
     }
--- a/crates/frontend-http1/src/job_exchange.rs
+++ b/crates/frontend-http1/src/job_exchange.rs
@@ -10,7 +10,7 @@
 use crate::response::Response;
 use futures_lite::future::or;
 use sorrelhaven_body_store::{BLOCK_BYTES, BodyEnd, RequestBody};
-use sorrelhaven_engine::{BodyPermit, RequestHandle};
+use sorrelhaven_engine::{AdmissionError, BodyPermit, RequestHandle};
 use sorrelhaven_wire::{BodyDecoder, Connection};
 use std::time::Instant;
 
@@ -86,8 +86,9 @@
             draft.limit_deadline(clock.micros(answer_deadline));
         }
         let job = draft.into_job(body.clone(), true, permit, connection.peer_close_detector());
-        let Ok(request) = frontend.engine.submit(job) else {
-            return Ok(duplicate_request(rest.is_none()));
+        let request = match frontend.engine.submit(job) {
+            Ok(request) => request,
+            Err(error) => return Ok(not_admitted(error, rest.is_none())),
         };
         await_answer(frontend, connection, request, &body, rest).await
     }
@@ -133,9 +134,14 @@
     }
 }
 
-/// The exchange for a request whose id is that of another request in progress.
-fn duplicate_request(reusable: bool) -> Exchange {
-    Exchange { response: Response::new(409), reusable, submitted_job: false }
+/// The exchange for a request that the engine did not admit.
+fn not_admitted(error: AdmissionError, reusable: bool) -> Exchange {
+    let status = match error {
+        // Not 503 in either case: an earlier request with this id may have run.
+        AdmissionError::DuplicateId => 409,
+        AdmissionError::ClaimsUnavailable => 500,
+    };
+    Exchange { response: Response::new(status), reusable, submitted_job: false }
 }
 
 /// Reads the body until the read deadline of a drain or shutdown at the latest.
@@ -228,8 +234,9 @@
         return Ok(Exchange::closing(response));
     }
     let job = draft.into_job(body, false, None, connection.peer_close_detector());
-    let Ok(request) = frontend.engine.submit(job) else {
-        return Ok(duplicate_request(false));
+    let request = match frontend.engine.submit(job) {
+        Ok(request) => request,
+        Err(error) => return Ok(not_admitted(error, false)),
     };
     let response = Response::from_answer(request.answer().await);
     Ok(Exchange { response, reusable: false, submitted_job: true })
--- a/crates/handover/src/process_registry.rs
+++ b/crates/handover/src/process_registry.rs
@@ -1,7 +1,8 @@
 //! Counts the running processes of one node. Each holds the lock of a file, which the kernel releases when
 //! the process ends, even if it crashes.
 
-use rustix::fs::{FlockOperation, Mode, OFlags, flock, open};
+use crate::node_file::open_node_file;
+use rustix::fs::{FlockOperation, flock};
 use std::fs::File;
 use std::io;
 use std::path::Path;
@@ -12,8 +13,6 @@
 /// The beginning of the lock files' names. It must not change: processes of different program versions share
 /// the files.
 const LOCK_FILE_PREFIX: &str = "sorrelhaven-seat";
-/// How many characters of the node's name are part of the lock files' names.
-const MAX_NAME_CHARS: usize = 64;
 
 /// The registration of this process as one of its node. Dropping it ends the registration.
 pub struct ProcessRegistry {
@@ -31,7 +30,7 @@
     /// A lock file cannot be opened, for example because the directory does not exist or is not writable.
     pub fn register(directory: &Path, node_name: &str) -> io::Result<ProcessRegistry> {
         let lock_files = (0..MAX_PROCESSES)
-            .map(|index| open_lock_file(directory, node_name, index))
+            .map(|index| open_node_file(directory, LOCK_FILE_PREFIX, node_name, &format!(".{index}")))
             .collect::<io::Result<Vec<File>>>()?;
         let own_index = lock_files.iter().position(try_lock);
         Ok(ProcessRegistry { lock_files, own_index })
@@ -44,18 +43,6 @@
     }
 }
 
-fn open_lock_file(directory: &Path, node_name: &str, index: usize) -> io::Result<File> {
-    let name: String = node_name.chars().map(portable_char).take(MAX_NAME_CHARS).collect();
-    let path = directory.join(format!("{LOCK_FILE_PREFIX}.{name}.{index}"));
-    let flags = OFlags::CREATE | OFlags::RDWR | OFlags::NOFOLLOW | OFlags::CLOEXEC;
-    Ok(File::from(open(path, flags, Mode::RUSR | Mode::WUSR)?))
-}
-
-/// Replaces a character that may not be valid in a file name.
-fn portable_char(character: char) -> char {
-    if character.is_ascii_alphanumeric() { character } else { '_' }
-}
-
 fn try_lock(file: &File) -> bool {
     flock(file, FlockOperation::NonBlockingLockExclusive).is_ok()
 }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -16,7 +16,7 @@
 use sorrelhaven_config::Config;
 use sorrelhaven_engine::Engine;
 use sorrelhaven_frontend_http1::{AcceptQueue, Frontend};
-use sorrelhaven_handover::ProcessRegistry;
+use sorrelhaven_handover::{ClaimTable, ProcessRegistry};
 use sorrelhaven_lifecycle::LifecycleHandle;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -50,6 +50,7 @@
     let admin_listener = config.admin.map(listen_for_admin).transpose()?;
     let listener = ClientListener::open(inherited, &config)?;
     let registry = register_process(&config, listener.queue);
+    share_claims(&engine, &config, listener.queue);
 
     if let Some(member) = member.clone() {
         engine.tasks.spawn_urgent(async move { member.run().await });
@@ -95,6 +96,18 @@
     }
 }
 
+/// Shares the ids of requests that must not run twice with the other processes that accept from the same queue. If that
+/// fails, this process remembers its own.
+fn share_claims(engine: &Engine, config: &Config, queue: AcceptQueue) {
+    if queue == AcceptQueue::Own {
+        return;
+    }
+    match ClaimTable::shared(&std::env::temp_dir(), &config.name) {
+        Ok(table) => engine.claims.replace(table),
+        Err(error) => warn!(%error, "cannot share request ids with the other processes of this node"),
+    }
+}
+
 fn serve_admin(
     socket: Async<TcpListener>,
     engine: &Rc<Engine>,
