--- a/crates/node/tests/overload/main.rs
+++ b/crates/node/tests/overload/main.rs
@@ -2,6 +2,7 @@
 
 mod bystander;
 mod crowd;
+mod departure;
 mod flood;
 mod memory;
 mod node;
--- a/crates/node/tests/overload/memory.rs
+++ b/crates/node/tests/overload/memory.rs
@@ -58,3 +58,17 @@
 fn crowds_of_clients_stay_within_192_mb_with_1024_descriptors() {
     crowds_stay_within(Limits { memory_mb: 192, sockets: 1024 }, "crowd-192-1024");
 }
+
+/// During an upgrade two processes are one node to the platform's limits.
+#[test]
+fn crowds_of_clients_at_two_processes_stay_within_the_memory_of_one() {
+    let limits = Limits { memory_mb: 40, sockets: 1024 };
+    let (mut node, address) = Node::start_upgrade(limits, "crowd-upgrade");
+    node.workers.set_id_behavior("silent", WorkerBehavior::Silent);
+    let mut faults = Vec::new();
+    for kind in [CrowdKind::HalfBodies, CrowdKind::HalfChunkedBodies, CrowdKind::BytesBehindARequest] {
+        run_crowd(&address, kind, full_crowd(limits));
+        faults.extend(node.faults(&format!("{kind:?}")));
+    }
+    assert_eq!(faults, [""; 0]);
+}
--- a/crates/test-support/src/fake_workers.rs
+++ b/crates/test-support/src/fake_workers.rs
@@ -13,7 +13,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One execution of a request: a worker received the whole body and ran the job.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +39,8 @@
     /// The behaviour for requests whose id begins with a prefix, whatever else is set.
     id_behaviors: Vec<(String, WorkerBehavior)>,
     executed: Vec<ExecutedRequest>,
+    /// The id of each request whose head arrived, and when.
+    arrivals: Vec<(String, Instant)>,
     received_requests: usize,
     incomplete_requests: usize,
     released: bool,
@@ -111,6 +113,7 @@
     fn next_behavior(&self, worker: usize, id: &str) -> WorkerBehavior {
         let mut state = self.state();
         state.received_requests += 1;
+        state.arrivals.push((id.to_string(), Instant::now()));
         let by_id = state.id_behaviors.iter().find(|(prefix, _)| id.starts_with(prefix.as_str()));
         if let Some(&(_, behavior)) = by_id {
             return behavior;
@@ -142,6 +145,11 @@
         self.state().executed.iter().filter(|executed| executed.id == id).cloned().collect()
     }
 
+    /// The id of each request whose head arrived at any worker, and when, in the order of arrival.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.state().arrivals.clone()
+    }
+
     /// The number of requests whose head arrived at any worker.
     pub fn received_requests(&self) -> usize {
         self.state().received_requests
