--- a/crates/body-store/src/resources.rs
+++ b/crates/body-store/src/resources.rs
@@ -5,7 +5,7 @@
 use crate::counters::Counters;
 use crate::decision::{NotStoredReason, Timestamp};
 use crate::disk::Disk;
-use crate::plan::{BodyId, StoragePlan};
+use crate::plan::{BodyId, StorageLimits, StoragePlan};
 use crate::settings;
 use event_listener::Event;
 use sorrelhaven_config::{BodySettings, NotStoredPolicy};
@@ -79,6 +79,13 @@
         self.memory_pressure.notify(1);
     }
 
+    /// Changes the memory that all bodies together may use, and wakes the spiller.
+    pub(crate) fn set_memory_limit(&self, max_memory_bytes: u64) {
+        let limits = StorageLimits { max_memory_bytes, ..self.plan().limits().clone() };
+        self.plan().configure(limits);
+        self.memory_pressure.notify(1);
+    }
+
     pub(crate) fn plan(&self) -> RefMut<'_, StoragePlan> {
         self.plan.borrow_mut()
     }
--- a/crates/body-store/src/store.rs
+++ b/crates/body-store/src/store.rs
@@ -44,6 +44,11 @@
         self.resources.configure(settings, disk);
     }
 
+    /// Changes the memory that all bodies together may use, in bytes, until the settings are applied again.
+    pub fn set_memory_limit(&self, max_memory_bytes: u64) {
+        self.resources.set_memory_limit(max_memory_bytes);
+    }
+
     /// The time by which the next byte of a body must arrive: `read_started_at`, when reading the request
     /// started, plus `grace`, plus the time that the received bytes take at the configured minimum upload
     /// rate.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -11,7 +11,7 @@
 use crate::dispatcher_loop::DispatcherLoop;
 use crate::job::Job;
 use crate::load_report::LoadReportFields;
-use crate::memory_limits::{MemoryLimits, process_bytes};
+use crate::memory_limits::{MemoryLimits, MemorySize};
 use crate::memory_monitor::MemoryMonitor;
 use crate::probe;
 use crate::request_admission::{AdmissionError, RequestAdmission, RequestHandle};
@@ -79,7 +79,7 @@
             probe_requests,
             counters.responsiveness.clone(),
         ));
-        let memory_limits = Rc::new(MemoryLimits::new(config));
+        let memory_limits = Rc::new(MemoryLimits::new(MemorySize::of_node(config)));
         let upstreams = Rc::new(new_upstreams(config, &tasks, &counters, &memory_limits));
         let bodies = new_body_store(config, disk, &upstreams, &memory_limits);
         let claims = Rc::new(ClaimTable::in_memory());
@@ -106,7 +106,7 @@
             bodies,
             counters,
             memory_limits,
-            memory_monitor: Rc::new(MemoryMonitor::new(process_bytes(config))),
+            memory_monitor: Rc::new(MemoryMonitor::new(MemorySize::of_node(config).process_bytes)),
             claims,
             request_admission,
             probes,
@@ -140,10 +140,11 @@
         self.tasks.spawn(async move { evict_expired_connections(&upstreams.pool).await });
     }
 
-    /// Applies changed limits of memory.
-    pub fn configure_memory(&self, config: &Config) {
-        self.memory_limits.configure(config);
-        self.memory_monitor.set_limit(process_bytes(config));
+    /// Applies a changed limit of memory. Bodies and buffers beyond a lower one stay until they are released.
+    pub fn set_memory(&self, memory: MemorySize) {
+        self.memory_limits.set_memory(memory);
+        self.memory_monitor.set_limit(memory.process_bytes);
+        self.bodies.set_memory_limit(memory.body_bytes);
     }
 
     /// Admits a job and starts the task of its request.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -87,7 +87,7 @@
 pub use engine::Engine;
 pub use invariants::{Invariant, Invariants, RequestChecks, SentAttempt, WorkerDrain};
 pub use job::{Answer, Job, RequestMessage, RequestPayload};
-pub use memory_limits::MemoryLimits;
+pub use memory_limits::{MemoryLimits, MemorySize};
 pub use memory_monitor::MemoryMonitor;
 pub use metric::{Counter, MaxDuration};
 pub use process_memory::ProcessMemory;
--- a/crates/engine/src/memory_limits.rs
+++ b/crates/engine/src/memory_limits.rs
@@ -21,10 +21,41 @@
     pub upstream: Rc<BufferBudget>,
 }
 
+/// The memory that a process may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemorySize {
+    /// All bytes of the process.
+    pub process_bytes: u64,
+    /// The part of them for bodies that are stored in memory.
+    pub body_bytes: u64,
+}
+
+impl MemorySize {
+    /// What all processes of a node with this configuration may use together.
+    pub fn of_node(config: &Config) -> MemorySize {
+        MemorySize {
+            process_bytes: config.memory_mb.saturating_mul(BYTES_PER_MB),
+            body_bytes: config.operator.bodies.memory.total_bytes,
+        }
+    }
+
+    /// What each of this number of processes may use.
+    pub fn share_of(self, processes: usize) -> MemorySize {
+        let processes = processes as u64;
+        MemorySize { process_bytes: self.process_bytes / processes, body_bytes: self.body_bytes / processes }
+    }
+
+    /// The bytes of each budget.
+    fn budget_bytes(self) -> usize {
+        let beside_bodies = self.process_bytes.saturating_sub(self.body_bytes);
+        usize::try_from(beside_bodies / BUDGET_DIVISOR).unwrap_or(usize::MAX)
+    }
+}
+
 impl MemoryLimits {
-    /// The budgets of a node with this configuration.
-    pub fn new(config: &Config) -> MemoryLimits {
-        let limit = budget_bytes(config);
+    /// The budgets of a process that may use this memory.
+    pub fn new(memory: MemorySize) -> MemoryLimits {
+        let limit = memory.budget_bytes();
         MemoryLimits {
             downstream: BufferBudget::new(limit),
             body_windows: BufferBudget::new(limit),
@@ -32,9 +63,9 @@
         }
     }
 
-    /// Applies a changed configuration. Memory in use beyond a lower limit stays in use until it is released.
-    pub fn configure(&self, config: &Config) {
-        let limit = budget_bytes(config);
+    /// Applies a changed limit. Memory in use beyond a lower one stays in use until it is released.
+    pub fn set_memory(&self, memory: MemorySize) {
+        let limit = memory.budget_bytes();
         for budget in [&self.downstream, &self.body_windows, &self.upstream] {
             budget.set_limit(limit);
         }
@@ -52,14 +83,3 @@
         ]
     }
 }
-
-/// The bytes that the process may use.
-pub fn process_bytes(config: &Config) -> u64 {
-    config.memory_mb.saturating_mul(BYTES_PER_MB)
-}
-
-/// The bytes of each budget.
-fn budget_bytes(config: &Config) -> usize {
-    let beside_bodies = process_bytes(config).saturating_sub(config.operator.bodies.memory.total_bytes);
-    usize::try_from(beside_bodies / BUDGET_DIVISOR).unwrap_or(usize::MAX)
-}
--- a/crates/node/src/process_share.rs
+++ b/crates/node/src/process_share.rs
@@ -1,8 +1,9 @@
-//! Divides the node's limit on file descriptors evenly among its processes, of which several run during an
-//! upgrade.
+//! Divides the node's limits on file descriptors and memory evenly among its processes, of which several run during
+//! an upgrade.
 
 use async_io::Timer;
-use sorrelhaven_engine::Engine;
+use sorrelhaven_config::Config;
+use sorrelhaven_engine::{Engine, MemorySize};
 use sorrelhaven_frontend_http1::Frontend;
 use sorrelhaven_handover::ProcessRegistry;
 use std::cell::Cell;
@@ -13,25 +14,38 @@
 /// Interval at which the processes of the node are counted.
 const PROCESS_COUNT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The part of the node's limit on descriptors that this process may use.
-pub struct DescriptorShare {
+/// What all processes of the node may use together.
+#[derive(Clone, Copy)]
+struct NodeLimits {
+    descriptors: usize,
+    memory: MemorySize,
+}
+
+impl NodeLimits {
+    fn new(config: &Config) -> NodeLimits {
+        NodeLimits { descriptors: config.max_descriptors, memory: MemorySize::of_node(config) }
+    }
+}
+
+/// The part of the node's limits that this process may use.
+pub struct ProcessShare {
     engine: Rc<Engine>,
     frontend: Rc<Frontend>,
-    /// Descriptors that all processes of the node may hold together.
-    node_limit: Cell<usize>,
+    node_limits: Cell<NodeLimits>,
     other_processes: Cell<usize>,
 }
 
-impl DescriptorShare {
-    /// The whole of `node_limit`, as long as no other process of the node was counted.
-    pub fn new(engine: Rc<Engine>, frontend: Rc<Frontend>, node_limit: usize) -> DescriptorShare {
-        DescriptorShare { engine, frontend, node_limit: Cell::new(node_limit), other_processes: Cell::new(0) }
+impl ProcessShare {
+    /// The whole of the limits in `config`, as long as no other process of the node was counted.
+    pub fn new(engine: Rc<Engine>, frontend: Rc<Frontend>, config: &Config) -> ProcessShare {
+        let node_limits = Cell::new(NodeLimits::new(config));
+        ProcessShare { engine, frontend, node_limits, other_processes: Cell::new(0) }
     }
 
-    /// Changes the number of descriptors that all processes of the node may hold together, and applies this
-    /// process's new share.
-    pub fn set_node_limit(&self, node_limit: usize) {
-        self.node_limit.set(node_limit);
+    /// Takes the limits that all processes of the node may use together from a changed configuration, and applies
+    /// this process's new share.
+    pub fn configure(&self, config: &Config) {
+        self.node_limits.set(NodeLimits::new(config));
         self.apply();
     }
 
@@ -56,7 +70,9 @@
 
     fn apply(&self) {
         let processes = 1 + self.other_processes.get();
-        self.engine.upstreams.pool.set_descriptor_limit(self.node_limit.get() / processes);
+        let NodeLimits { descriptors, memory } = self.node_limits.get();
+        self.engine.upstreams.pool.set_descriptor_limit(descriptors / processes);
+        self.engine.set_memory(memory.share_of(processes));
         self.frontend.evict_excess_connections();
     }
 }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -1,8 +1,8 @@
 //! Reloads the configuration while the node runs (SIGHUP).
 
 use crate::body_directory;
-use crate::descriptor_share::DescriptorShare;
 use crate::environment::Environment;
+use crate::process_share::ProcessShare;
 use async_channel::Sender;
 use sorrelhaven_config::Config;
 use sorrelhaven_engine::Engine;
@@ -15,7 +15,7 @@
     config: Config,
     environment: Environment,
     engine: Rc<Engine>,
-    descriptors: Rc<DescriptorShare>,
+    share: Rc<ProcessShare>,
     /// Sends a changed address of discovery to the engine.
     discovery_changes: Sender<SocketAddr>,
 }
@@ -26,10 +26,10 @@
         config: Config,
         environment: Environment,
         engine: Rc<Engine>,
-        descriptors: Rc<DescriptorShare>,
+        share: Rc<ProcessShare>,
         discovery_changes: Sender<SocketAddr>,
     ) -> Reloader {
-        Reloader { config, environment, engine, descriptors, discovery_changes }
+        Reloader { config, environment, engine, share, discovery_changes }
     }
 
     /// Reads the platform's and the operators' file again and applies the settings that can change at run
@@ -46,8 +46,7 @@
         if self.config.operator.membership != next.operator.membership {
             warn!("membership settings changed, restart required");
         }
-        self.descriptors.set_node_limit(next.max_descriptors);
-        self.engine.configure_memory(&next);
+        self.share.configure(&next);
         if next.discovery != self.config.discovery {
             // Cannot fail: the channel is unbounded, and its receiver lives as long as the node.
             let _ = self.discovery_changes.try_send(next.discovery);
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -4,9 +4,9 @@
 use crate::cli::LogFormat;
 use crate::client_listener::ClientListener;
 use crate::cluster_member::ClusterMember;
-use crate::descriptor_share::DescriptorShare;
 use crate::environment::Environment;
 use crate::node::Node;
+use crate::process_share::ProcessShare;
 use crate::reload::Reloader;
 use crate::signals::Signals;
 use crate::start_error::StartError;
@@ -65,11 +65,11 @@
     let (discovery_changes, discovery_addresses) = async_channel::unbounded();
     engine.start(config.discovery, config.known_workers.version, discovery_addresses);
     close_idle_connections(&engine, frontend.clone());
-    let descriptors = Rc::new(DescriptorShare::new(engine.clone(), frontend.clone(), config.max_descriptors));
+    let share = Rc::new(ProcessShare::new(engine.clone(), frontend.clone(), &config));
     if let Some(registry) = registry {
-        share_descriptors(&engine, descriptors.clone(), registry);
+        share_limits(&engine, share.clone(), registry);
     }
-    let reloader = Reloader::new(config, environment, engine.clone(), descriptors, discovery_changes);
+    let reloader = Reloader::new(config, environment, engine.clone(), share, discovery_changes);
     let node = Rc::new(Node { engine, frontend, lifecycle, format });
     handle_signals(node.clone(), signals, reloader);
     run_to_shutdown(&node, listener);
@@ -84,8 +84,8 @@
     admin::listen(address).map_err(|error| StartError::AdminListen { address, error })
 }
 
-/// Registers this process if it may share its accept queue with other processes of the node, since the limit
-/// on descriptors holds for all of them together. If the registration fails, this process uses the whole
+/// Registers this process if it may share its accept queue with other processes of the node, since the limits
+/// on descriptors and memory hold for all of them together. If the registration fails, this process uses the whole
 /// limit.
 fn register_process(config: &Config, queue: AcceptQueue) -> Option<ProcessRegistry> {
     match queue {
@@ -125,9 +125,9 @@
     info!(name = config.name, ops = %admin_address, queue = ?listener.queue, %listen, "ready");
 }
 
-fn share_descriptors(engine: &Engine, descriptors: Rc<DescriptorShare>, registry: ProcessRegistry) {
-    descriptors.count_processes_at_start(&registry);
-    engine.tasks.spawn_urgent(async move { descriptors.poll_process_count(&registry).await });
+fn share_limits(engine: &Engine, share: Rc<ProcessShare>, registry: ProcessRegistry) {
+    share.count_processes_at_start(&registry);
+    engine.tasks.spawn_urgent(async move { share.poll_process_count(&registry).await });
 }
 
 fn close_idle_connections(engine: &Engine, frontend: Rc<Frontend>) {
--- a/crates/node/tests/program/configuration.rs
+++ b/crates/node/tests/program/configuration.rs
@@ -61,13 +61,13 @@
     let done = head + &line_chunk(r#"{"id":"q-1","state":"done","result":"fine"}"#) + "0\r\n\r\n";
     job.write_all(done.as_bytes()).expect("the node reads the bytes");
     assert!(read_until(&mut client, "\r\n\r\nfine").starts_with("HTTP/1.1 200 OK\r\n"));
-    let mut client = node.send_request("fee", "5000m");
+    let mut client = node.send_request_with_id("q-2", "fee", "5000m");
     let (mut job, _) = listener.accept().expect("the known worker is still used");
     read_until(&mut job, "body");
     node.program.signal("HUP");
     node.program.signal("TERM");
     node.program.wait_for_log_line("shutdown requested");
-    job.write_all(done.as_bytes()).expect("the node reads the bytes");
+    job.write_all(done.replace("q-1", "q-2").as_bytes()).expect("the node reads the bytes");
     assert!(read_until(&mut client, "\r\n\r\nfine").starts_with("HTTP/1.1 200 OK\r\n"));
     assert!(node.program.child.wait().expect("the program ends").success());
 }
--- a/crates/node/tests/program/node.rs
+++ b/crates/node/tests/program/node.rs
@@ -37,8 +37,13 @@
 
     /// Sends a request with the id `q-1` on a new connection, and returns the connection.
     pub fn send_request(&self, class: &str, timeout: &str) -> TcpStream {
+        self.send_request_with_id("q-1", class, timeout)
+    }
+
+    /// Sends a request on a new connection, and returns the connection.
+    pub fn send_request_with_id(&self, id: &str, class: &str, timeout: &str) -> TcpStream {
         let mut stream = TcpStream::connect(&self.program.address).expect("the node accepts the connection");
-        let head = format!("POST /api?a=b HTTP/1.1\r\nRequest-Id: q-1\r\nRequest-Class: {class}\r\n");
+        let head = format!("POST /api?a=b HTTP/1.1\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\n");
         let rest =
             format!("Request-Timeout: {timeout}\r\nIdempotency-Key: k\r\nContent-Length: 4\r\n\r\nbody");
         stream.write_all((head + &rest).as_bytes()).expect("the node reads the bytes");
