An attempt waits until what its client sent behind the request has been read

What callers saw: a client closed its connection with much still unread, and its request was sent 0.16 to 0.22 s later.

Cause (class: a check that asks the wrong place): before a send the socket is asked whether the client has closed it, but the system learns of the close only after the bytes before it have been read. A node that is short of processor time falls behind in reading.

Change: an attempt whose request's body is complete waits while the system holds unread input of its client, at most until its deadline. Bodies that are still being streamed are excepted.

--- a/crates/engine/src/attempt_spec.rs
+++ b/crates/engine/src/attempt_spec.rs
@@ -14,9 +14,9 @@
 /// and a worker may drop a request with so little time left without reporting it.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(1);
 
-/// How often an attempt whose client has closed the connection checks whether this was reported to the
-/// request.
-const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// How often an attempt whose client may have closed the connection checks whether this was reported to the
+/// request, or all input was read.
+const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// The parameters of one attempt, and the state that it shares with its request.
 pub struct AttemptSpec {
@@ -52,14 +52,14 @@
 
     /// Checks whether the request may be sent now.
     ///
-    /// If the client has closed its connection, waits until this is reported to the request. Before the front
-    /// end notices, it may have to read all input that the client sent earlier, which takes some time.
+    /// If the client has closed its connection, waits until this is reported to the request. If the client has sent
+    /// more than the request, waits until the front end has read that: it may hide the client's close.
     ///
     /// # Errors
     ///
     /// How the attempt ends if the request may not be sent.
     pub async fn check_sendable(&self) -> Result<(), AttemptEnd> {
-        while self.request.has_unreported_disconnect() {
+        while self.request.may_have_unreported_disconnect() {
             Timer::after(DISCONNECT_POLL_INTERVAL).await;
         }
         if self.request.concluded.get() {
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -80,16 +80,24 @@
     pub fully_sent: Cell<bool>,
     /// Detects that the client has closed its connection.
     pub client_close_detector: Option<PeerCloseDetector>,
+    /// Whether the whole body had been received when the request was admitted.
+    pub is_body_received: bool,
     /// The run-time checks of the request's invariants.
     pub checks: RequestChecks,
 }
 
 impl RequestState {
-    /// Whether the client has closed its connection and this has not been reported to the request, which is
-    /// not concluded.
-    pub fn has_unreported_disconnect(&self) -> bool {
-        !self.concluded.get()
-            && self.client_close_detector.as_ref().is_some_and(PeerCloseDetector::has_closed)
+    /// Whether the client may have closed its connection without that having been reported to the request, which is
+    /// not concluded: it has, or there is input after the request that the front end has not read yet. While the
+    /// request's own body is being read, unread input says nothing.
+    pub fn may_have_unreported_disconnect(&self) -> bool {
+        if self.concluded.get() {
+            return false;
+        }
+        self.client_close_detector.as_ref().is_some_and(|detector| match self.is_body_received {
+            true => detector.may_have_closed(),
+            false => detector.has_closed(),
+        })
     }
 }
 
--- a/crates/engine/src/request_admission.rs
+++ b/crates/engine/src/request_admission.rs
@@ -127,6 +127,7 @@
     fn new_request(&self, id: RequestId, job: Job) -> NewRequest {
         let state = RequestState {
             client_close_detector: job.client_close_detector,
+            is_body_received: job.payload.body.end().is_some(),
             checks: self.checks(job.class),
             ..RequestState::default()
         };
--- a/crates/wire/src/peer_close_detector.rs
+++ b/crates/wire/src/peer_close_detector.rs
@@ -24,6 +24,12 @@
         self.has_event(PollFlags::RDHUP)
     }
 
+    /// Whether the peer may have closed the connection: it has, or the system holds input that was not read yet and
+    /// may hide the close. Does not wait.
+    pub fn may_have_closed(&self) -> bool {
+        self.has_event(PollFlags::IN | PollFlags::RDHUP)
+    }
+
     /// Whether the system holds input that was not read yet, or the end of the input. Does not wait.
     pub fn has_unread_input(&self) -> bool {
         self.has_event(PollFlags::IN)
