Evicted incomplete requests are answered 503; soak: crowds, series of signals, SIGKILL

Cause: the soak, with crowds for the first time, found that a connection evicted with an incomplete first request was closed at once.

Change: the eviction answers 503 and reads on for a while, as every other response that closes a connection. Nothing of such a request ran.

The soak now has clients that use their connections until the kill, which comes 3.7 s after SIGTERM; SIGTERM with a reload and a second SIGTERM; reloads in a row; crowds of clients that stop half way; requests that come again under their id after their client has left; and the memory of each process against 64 MB.

--- a/crates/frontend-http1/src/connection.rs
+++ b/crates/frontend-http1/src/connection.rs
@@ -3,7 +3,7 @@
 use crate::close_reason::CloseReason;
 use crate::exchange::{Exchange, serve_request};
 use crate::frontend::{Frontend, REQUEST_READ_TIMEOUT};
-use crate::response::{REQUEST_TIMEOUT_STATUS, Response};
+use crate::response::{REJECTED_STATUS, REQUEST_TIMEOUT_STATUS, Response};
 use event_listener::Event;
 use futures_lite::future::{or, yield_now};
 use sorrelhaven_wire::{Connection, MAX_BODY_BYTES, timeout_at};
@@ -78,8 +78,11 @@
     reusable: bool,
 ) -> Option<CloseReason> {
     if response.close {
-        let is_timeout = response.status == REQUEST_TIMEOUT_STATUS;
-        return Some(if is_timeout { CloseReason::RequestTimeout } else { CloseReason::InvalidRequest });
+        return Some(match response.status {
+            REQUEST_TIMEOUT_STATUS => CloseReason::RequestTimeout,
+            REJECTED_STATUS => CloseReason::EvictedIncomplete,
+            _ => CloseReason::InvalidRequest,
+        });
     }
     if connection.has_discarded_input() {
         return Some(CloseReason::InputDiscarded);
--- a/crates/frontend-http1/src/exchange.rs
+++ b/crates/frontend-http1/src/exchange.rs
@@ -45,7 +45,7 @@
     let read = ParsedRequest::read(frontend, connection);
     let parsed = frontend.within_read_timeout(read_started_at, &mut eviction, read).await;
     let ParsedRequest { draft, body_decoder, expects_continue, keeps_alive } = match parsed {
-        Err(interrupt) => return respond_to_interrupt(interrupt),
+        Err(interrupt) => return Ok(respond_to_interrupt(interrupt)),
         Ok(Err(error)) => return respond_to_wire_error(error),
         Ok(Ok(request)) => request,
     };
@@ -58,7 +58,7 @@
         Err(response) => {
             let discard = discard_body(connection, body_decoder, expects_continue);
             match frontend.within_read_timeout(read_started_at, &mut eviction, discard).await {
-                Err(interrupt) => respond_to_interrupt(interrupt),
+                Err(interrupt) => Ok(respond_to_interrupt(interrupt)),
                 Ok(Err(error)) => respond_to_wire_error(error),
                 Ok(Ok(())) => Ok(Exchange { response, reusable: keeps_alive, submitted_job: false }),
             }
@@ -67,11 +67,11 @@
 }
 
 /// The exchange for a request that was not received completely.
-fn respond_to_interrupt(interrupt: ReadInterrupt) -> Result<Exchange, CloseReason> {
-    match interrupt {
-        ReadInterrupt::TimedOut => Ok(Exchange::closing(Response::request_timeout())),
-        ReadInterrupt::Evicted => Err(CloseReason::EvictedIncomplete),
-    }
+fn respond_to_interrupt(interrupt: ReadInterrupt) -> Exchange {
+    Exchange::closing(match interrupt {
+        ReadInterrupt::TimedOut => Response::request_timeout(),
+        ReadInterrupt::Evicted => Response::overloaded(),
+    })
 }
 
 /// The exchange for a request that could not be read.
--- a/crates/frontend-http1/src/job_exchange.rs
+++ b/crates/frontend-http1/src/job_exchange.rs
@@ -35,8 +35,10 @@
 
 /// Why a body could not be received.
 enum ReceiveError {
-    /// The connection is to be closed without a response.
-    Closing(CloseReason),
+    /// The client has disconnected, so no response can be sent.
+    ClientDisconnected,
+    /// The connection's descriptor is needed for another connection.
+    Evicted,
     /// Reading has stopped before the end of the body.
     Incomplete {
         /// The part of the body that was received.
@@ -66,7 +68,8 @@
         let received = self.receive_body(frontend, connection, client_deadline, &mut eviction).await;
         let ReceivedBody { body, rest } = match received {
             Ok(received) => received,
-            Err(ReceiveError::Closing(reason)) => return Err(reason),
+            Err(ReceiveError::ClientDisconnected) => return Err(CloseReason::ClientClosedInRequest),
+            Err(ReceiveError::Evicted) => return Ok(Exchange::closing(Response::overloaded())),
             Err(ReceiveError::Incomplete { body, end }) => {
                 return respond_to_incomplete_body(frontend, connection, self.draft, body, end).await;
             }
@@ -109,7 +112,7 @@
             .map_err(|(end, body)| ReceiveError::Incomplete { body, end })?;
         let body = writer.body();
         if self.expects_continue && connection.write(CONTINUE).await.is_err() {
-            return Err(ReceiveError::Closing(CloseReason::ClientClosedInRequest));
+            return Err(ReceiveError::ClientDisconnected);
         }
         let reader = BodyReader::new(self.body_decoder, writer, self.read_started_at, client_deadline);
         let read = read_until_drain_deadline(frontend, connection, reader, self.read_started_at);
@@ -118,7 +121,7 @@
             BodyProgress::Evicted
         };
         match or(read, evicted).await {
-            BodyProgress::Evicted => Err(ReceiveError::Closing(CloseReason::EvictedIncomplete)),
+            BodyProgress::Evicted => Err(ReceiveError::Evicted),
             BodyProgress::Complete => Ok(ReceivedBody { body, rest: None }),
             BodyProgress::ReadyToStream(reader) => Ok(ReceivedBody { body, rest: Some(reader) }),
             BodyProgress::Incomplete(end) => Err(ReceiveError::Incomplete { body, end }),
--- a/crates/frontend-http1/src/response.rs
+++ b/crates/frontend-http1/src/response.rs
@@ -11,6 +11,9 @@
 /// The status of the response to a request that was not received in time.
 pub const REQUEST_TIMEOUT_STATUS: u16 = 408;
 
+/// The status of a rejection: nothing was run, and a retry is harmless.
+pub const REJECTED_STATUS: u16 = 503;
+
 /// The final response to a client's request.
 pub struct Response {
     /// The HTTP status code.
@@ -47,6 +50,12 @@
         Response::protocol_error(REQUEST_TIMEOUT_STATUS, "the request came too slowly")
     }
 
+    /// The response to an incomplete request whose connection is needed for another one. The rest of the request may be
+    /// on its way, and its client must get an answer all the same.
+    pub fn overloaded() -> Response {
+        Response::protocol_error(REJECTED_STATUS, "too many connections")
+    }
+
     /// The response to a request that could not be read; `None` if the connection is closed or has failed.
     pub fn from_wire_error(error: WireError) -> Option<Response> {
         match error {
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -15,6 +15,8 @@
 /// After SIGTERM a node accepts connections for at least this long. A request sent later may find its
 /// connection closed without an answer.
 const ACCEPT_PERIOD_AFTER_SIGTERM: Duration = Duration::from_millis(400);
+/// What SIGKILL finds unanswered is lost only if it came earlier than this after SIGTERM.
+const LATE_AFTER_SIGTERM: Duration = Duration::from_millis(700);
 const CLASSES: [&str; 3] = ["renewal-check", "licence-issue", "fee-charge"];
 const BODY_LENGTHS: [usize; 5] = [30, 30, 30, 3_000, 65_536];
 const TIMEOUTS_MS: [u64; 4] = [40, 300, 1_000, 2_500];
@@ -37,6 +39,12 @@
     }
 }
 
+/// A connection, and the process that accepted it.
+struct OpenConnection {
+    stream: TcpStream,
+    incarnation: Incarnation,
+}
+
 /// A client of one node.
 pub struct Client<'a> {
     /// The number of the client, unique in the soak and part of its request ids.
@@ -52,7 +60,7 @@
 impl Client<'_> {
     /// Sends requests until the end of the soak.
     pub fn run(&mut self) {
-        let mut idle_connection: Option<TcpStream> = None;
+        let mut idle_connection: Option<OpenConnection> = None;
         for request_number in 0.. {
             if Instant::now() >= self.records.until {
                 return;
@@ -80,25 +88,26 @@
         request
     }
 
-    /// Sends a request and waits for the answer. Returns the connection if it can be reused.
-    fn send(&self, request: &TestRequest, idle_connection: Option<TcpStream>) -> Option<TcpStream> {
+    /// Sends a request and waits for the answer. Returns the connection if it can be reused. A client uses its
+    /// connection as long as that stays open, also after its process was sent SIGTERM.
+    fn send(&self, request: &TestRequest, idle_connection: Option<OpenConnection>) -> Option<OpenConnection> {
         self.records.checker.record_request(request);
         let was_idle = idle_connection.is_some();
         let started_at = Instant::now();
-        let incarnation = self.node.current();
-        let mut stream = match idle_connection {
-            Some(stream) => stream,
-            None => TcpStream::connect(incarnation.address).ok()?,
+        let OpenConnection { mut stream, incarnation } = match idle_connection {
+            Some(connection) => connection,
+            None => self.connect()?,
         };
-        let _ = stream.set_nodelay(true);
         match request.send_on(&mut stream) {
             Ok(response) => {
                 self.check_answer_time(request, &response);
-                self.record_answer(request, &response, stream)
+                self.record_answer(request, &response, OpenConnection { stream, incarnation })
             }
             // A killed process may have sent the request to a worker: it is not resent, as an at-most-once
             // job must not run twice.
             Err(_) if self.node.was_killed(&incarnation) => None,
+            // The same where SIGKILL follows SIGTERM, which frees only requests that came late.
+            Err(_) if self.node.may_close(&incarnation, started_at, LATE_AFTER_SIGTERM) => None,
             // The node may have closed the idle connection before the request arrived.
             Err(error) if was_idle && error.kind() != ErrorKind::WouldBlock => {
                 self.resend(request, started_at)
@@ -114,11 +123,10 @@
     }
 
     /// Sends a request a second time, on a new connection.
-    fn resend(&self, request: &TestRequest, started_at: Instant) -> Option<TcpStream> {
-        let mut stream = TcpStream::connect(self.node.current().address).ok()?;
-        let incarnation = self.node.current();
+    fn resend(&self, request: &TestRequest, started_at: Instant) -> Option<OpenConnection> {
+        let OpenConnection { mut stream, incarnation } = self.connect()?;
         match request.send_on(&mut stream) {
-            Ok(response) => self.record_answer(request, &response, stream),
+            Ok(response) => self.record_answer(request, &response, OpenConnection { stream, incarnation }),
             Err(error) => {
                 self.record_failure(
                     &incarnation,
@@ -142,10 +150,17 @@
         &self,
         request: &TestRequest,
         response: &TestResponse,
-        stream: TcpStream,
-    ) -> Option<TcpStream> {
+        connection: OpenConnection,
+    ) -> Option<OpenConnection> {
         self.records.checker.record_response(&request.id, response.status);
-        (!response.connection_close).then_some(stream)
+        (!response.connection_close).then_some(connection)
+    }
+
+    fn connect(&self) -> Option<OpenConnection> {
+        let incarnation = self.node.current();
+        let stream = TcpStream::connect(incarnation.address).ok()?;
+        let _ = stream.set_nodelay(true);
+        Some(OpenConnection { stream, incarnation })
     }
 
     /// Records a request as lost, unless the incarnation was allowed to close the connection without an
@@ -156,13 +171,22 @@
         }
     }
 
-    /// Sends a request and disconnects without reading the answer, in most cases before it arrives.
+    /// Sends a request and disconnects without reading the answer, in most cases before it arrives. Then sends it again
+    /// under the same id, if the process is the same: it must not run a second time unless that is harmless.
     fn send_and_disconnect(&mut self, request: &TestRequest) {
         self.records.checker.record_request(request);
-        let Ok(mut stream) = TcpStream::connect(self.node.current().address) else { return };
+        let Some(OpenConnection { mut stream, incarnation }) = self.connect() else { return };
         if write_request(&mut stream, request).is_ok() {
             thread::sleep(Duration::from_millis(self.rng.u64(0..80)));
         }
+        drop(stream);
+        thread::sleep(Duration::from_millis(self.rng.u64(0..80)));
+        let Some(OpenConnection { mut stream, incarnation: second }) = self.connect() else { return };
+        if second == incarnation
+            && let Ok(response) = request.send_on(&mut stream)
+        {
+            self.records.checker.record_response(&request.id, response.status);
+        }
     }
 
     /// Sends an incomplete request, bytes that are not HTTP, or nothing, and disconnects.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The node processes of a soak, and the injection of faults.
 
+use crate::crowd;
 use crate::discovery::Discovery;
 use crate::node_history::{EndCause, NodeHistory};
 use crate::plan::{Fault, Plan, Size};
@@ -16,6 +17,12 @@
 /// Descriptor limit of each node, the lowest that it accepts. Each of the thousands of list entries may have
 /// a connection, so that nodes run short of descriptors.
 const DESCRIPTOR_LIMIT: usize = 256;
+/// Memory limit of each node in megabytes.
+const MEMORY_MB: u64 = 64;
+/// SIGKILL follows SIGTERM after this time: the longest deadline, counted as 3 s, and 0.7 s more.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+/// How often a node is reloaded in a series.
+const RELOADS_IN_A_ROW: usize = 5;
 /// The time that a worker takes to run a job.
 const JOB_MILLIS: u64 = 5;
 /// Prefix of the files in the scratch directory to which the fault shim writes its counts, one file per
@@ -46,6 +53,7 @@
             .replace("127.0.0.1:1\"", &format!("{}\"", self.discovery.address))
             .replace("\"balancers\":1", &format!("\"balancers\":{node_count},\"me\":{number}"))
             .replace("\"sockets\":1024", &format!("\"sockets\":{DESCRIPTOR_LIMIT}"))
+            .replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"))
             .replace("\"seed\":\"1f\"", &format!("\"seed\":\"{number:x}f\""))
     }
 }
@@ -68,6 +76,8 @@
     /// One thread for each process that was sent SIGTERM. It panics if the process does not exit with
     /// success.
     shutdowns: Vec<thread::JoinHandle<()>>,
+    /// One thread for each crowd.
+    crowds: Vec<thread::JoinHandle<()>>,
 }
 
 impl<'a> Fleet<'a> {
@@ -86,6 +96,7 @@
             nodes: (0..node_count).map(new_node).collect(),
             verdict: Arc::default(),
             shutdowns: Vec::new(),
+            crowds: Vec::new(),
         };
         (0..node_count).for_each(|number| fleet.start_node(number));
         fleet
@@ -127,10 +138,17 @@
         node.history.record_end(EndCause::Terminated(Instant::now()));
         let Some(program) = node.program.take() else { return };
         let verdict = self.verdict.clone();
-        program.signal("TERM");
+        let peak_memory = program.peak_memory_bytes();
+        // Signals come in series: a reload and a second SIGTERM during the shutdown change nothing.
+        ["TERM", "HUP", "TERM"].into_iter().for_each(|signal| program.signal(signal));
         self.shutdowns.push(thread::spawn(move || {
-            let log = program.terminate();
+            let log = program.wait_for_end(EARLIEST_KILL);
             let mut verdict = lock(&verdict);
+            if peak_memory > MEMORY_MB << 20 {
+                verdict.violations.push(format!("node {number}: {peak_memory} bytes of memory were used"));
+            }
+            // Requests that the kill leaves without an answer are recorded by their clients.
+            let Some(log) = log else { return };
             if !log.contains(" invariant_violations=0 ") {
                 verdict.violations.push(format!("node {number}: an invariant was violated: {log}"));
             }
@@ -162,6 +180,14 @@
                 let Some(program) = &self.nodes[node].program else { return };
                 program.signal("HUP");
             }
+            Fault::ReloadNodeRepeatedly { node } => {
+                let Some(program) = &self.nodes[node].program else { return };
+                (0..RELOADS_IN_A_ROW).for_each(|_| program.signal("HUP"));
+            }
+            Fault::Crowd { node, clients } => {
+                let address = self.nodes[node].history.current().address;
+                self.crowds.push(thread::spawn(move || crowd::stop_half_way(address, clients)));
+            }
             Fault::RestartNode { node } => {
                 self.terminate_node(node);
                 self.start_node(node);
@@ -187,6 +213,9 @@
     /// shutdowns and numbers of processes and injected faults.
     pub(crate) fn terminate(mut self) -> Verdict {
         (0..self.nodes.len()).for_each(|number| self.terminate_node(number));
+        for crowd in std::mem::take(&mut self.crowds) {
+            let _ = crowd.join();
+        }
         let shutdowns = std::mem::take(&mut self.shutdowns);
         let failed = shutdowns.into_iter().filter_map(|shutdown| shutdown.join().err()).count();
         let mut verdict = std::mem::take(&mut *lock(&self.verdict));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod client;
+mod crowd;
 mod discovery;
 mod fleet;
 mod node_history;
--- a/crates/soak/src/node_history.rs
+++ b/crates/soak/src/node_history.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 /// One process of a node.
-#[derive(Clone)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Incarnation {
     /// The address at which the process accepts clients.
     pub address: SocketAddr,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -54,6 +54,10 @@
     PauseNode { node: usize, millis: u64 },
     /// A node reloads its configuration on SIGHUP.
     ReloadNode { node: usize },
+    /// A node gets SIGHUP several times in a row.
+    ReloadNodeRepeatedly { node: usize },
+    /// Many clients of a node stop half way through a request and stay.
+    Crowd { node: usize, clients: usize },
     /// A node gets SIGTERM, and a new process is started at once while the old one shuts down.
     RestartNode { node: usize },
     /// A node is killed with SIGKILL, and a new process is started.
@@ -166,7 +170,7 @@
 fn draw_fault(rng: &mut Rng, size: Size) -> Fault {
     let node = rng.usize(0..size.nodes);
     let worker = rng.usize(0..size.workers);
-    match rng.u8(0..14) {
+    match rng.u8(0..16) {
         0 => Fault::PauseNode { node, millis: rng.u64(20..150) },
         1 => Fault::ReloadNode { node },
         2 | 3 => Fault::RestartNode { node },
@@ -189,6 +193,8 @@
         10 => Fault::ResetDiscovery,
         11 => Fault::Release { millis: rng.u64(500..4_000) },
         12 => Fault::HangWorker { worker, millis: rng.u64(500..4_000) },
+        13 => Fault::ReloadNodeRepeatedly { node },
+        14 => Fault::Crowd { node, clients: rng.usize(100..300) },
         _ => {
             let behaviors = [(); 6].map(|()| SCRIPTED_BEHAVIORS[rng.usize(0..SCRIPTED_BEHAVIORS.len())]);
             Fault::ScriptWorkers(behaviors)
--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -165,17 +165,30 @@
     ///
     /// # Panics
     /// If the program exits with an error, or has not ended 30 s after SIGTERM.
-    pub fn terminate(mut self) -> String {
+    pub fn terminate(self) -> String {
         self.signal("TERM");
+        self.wait_for_end(SHUTDOWN_TIMEOUT).expect("the program ends by itself")
+    }
+
+    /// Waits for the end of a program that was sent SIGTERM, and returns the unread rest of its log. Sends SIGKILL
+    /// after `limit`, and returns `None` then.
+    ///
+    /// # Panics
+    /// If the program exits with an error.
+    pub fn wait_for_end(mut self, limit: Duration) -> Option<String> {
         let process_id = self.child.id();
         let (ended, watched) = channel::<()>();
-        let watchdog = thread::spawn(move || kill_unless_ended(process_id, &watched));
+        let watchdog = thread::spawn(move || kill_unless_ended(process_id, &watched, limit));
         let mut log = String::new();
         self.log.read_to_string(&mut log).expect("the log can be read");
         drop(ended);
-        watchdog.join().expect("the watchdog thread does not panic");
-        assert!(self.child.wait().expect("the program has ended").success(), "{log}");
-        log
+        let was_killed = watchdog.join().expect("the watchdog thread does not panic");
+        let status = self.child.wait().expect("the program has ended");
+        if was_killed {
+            return None;
+        }
+        assert!(status.success(), "{log}");
+        Some(log)
     }
 }
 
@@ -201,10 +214,12 @@
     line.split_whitespace().find_map(|field| field.strip_prefix(name)?.strip_prefix('='))
 }
 
-/// Kills the process unless the sender of `ended` is dropped within [`SHUTDOWN_TIMEOUT`], so that a program
-/// that never ends does not block the tests: its log, which [`Program::terminate`] reads, ends with it.
-fn kill_unless_ended(process_id: u32, ended: &Receiver<()>) {
-    if ended.recv_timeout(SHUTDOWN_TIMEOUT) == Err(RecvTimeoutError::Timeout) {
+/// Kills the process unless the sender of `ended` is dropped within `limit`, and returns whether it did. A program that
+/// never ends must not block the tests: its log, which [`Program::wait_for_end`] reads, ends with it.
+fn kill_unless_ended(process_id: u32, ended: &Receiver<()>, limit: Duration) -> bool {
+    let is_late = ended.recv_timeout(limit) == Err(RecvTimeoutError::Timeout);
+    if is_late {
         let _ = Command::new("kill").args(["-s", "KILL", &process_id.to_string()]).status();
     }
+    is_late
 }
