--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -1,13 +1,13 @@
 //! Runs processes of the program under randomly drawn faults that overlap. `crates/soak` describes which
 //! faults are drawn and which rules are checked.
 //!
-//! `SORRELHAVEN_SOAK=from..to` runs these seeds at the large size. Without it two fixed seeds run at the
+//! `SORRELHAVEN_SOAK=from..to` runs these seeds at the large size. Without it four fixed seeds run at the
 //! small size.
 
 use sorrelhaven_soak::{Plan, Size, run};
 use std::path::Path;
 
-const FIXED_SEEDS: [u64; 2] = [11, 12];
+const FIXED_SEEDS: [u64; 4] = [11, 12, 13, 14];
 
 #[test]
 fn overlapping_faults_violate_no_rule() {
