--- a/crates/node/tests/large_lists.rs
+++ b/crates/node/tests/large_lists.rs
@@ -166,7 +166,7 @@
     send_chunk(&mut watch, &indented(&worker_list(version + 1, true, &invalid)));
     let mut polled = accept_watch(&node.discovery);
     send_chunk(&mut polled, &indented(&worker_list(version + 2, true, &node.entries("in_service"))));
-    node.send_requests(0..100);
+    node.send_requests(version + 100..version + 200);
     assert_eq!(node.program.metric("node_skipped_executors"), 0);
     node.check_resources();
     let log = node.program.terminate();
