Soak: what SIGKILL finds unanswered after SIGTERM is lost

The arm is gone; a request that is outstanding when SIGKILL follows SIGTERM is recorded as lost, and a connection that the node closed is handled as before.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -15,8 +15,6 @@
 /// After SIGTERM a node accepts connections for at least this long. A request sent later may find its
 /// connection closed without an answer.
 const ACCEPT_PERIOD_AFTER_SIGTERM: Duration = Duration::from_millis(400);
-/// What SIGKILL finds unanswered is lost only if it came earlier than this after SIGTERM.
-const LATE_AFTER_SIGTERM: Duration = Duration::from_millis(700);
 const CLASSES: [&str; 3] = ["renewal-check", "licence-issue", "fee-charge"];
 const BODY_LENGTHS: [usize; 5] = [30, 30, 30, 3_000, 65_536];
 const TIMEOUTS_MS: [u64; 4] = [40, 300, 1_000, 2_500];
@@ -106,8 +104,11 @@
             // A killed process may have sent the request to a worker: it is not resent, as an at-most-once
             // job must not run twice.
             Err(_) if self.node.was_killed(&incarnation) => None,
-            // The same where SIGKILL follows SIGTERM, which frees only requests that came late.
-            Err(_) if self.node.may_close(&incarnation, started_at, LATE_AFTER_SIGTERM) => None,
+            // SIGKILL follows SIGTERM only after the node had the time to answer all that it read.
+            Err(error) if self.node.was_killed_after_sigterm(&incarnation, started_at) => {
+                self.records.record_lost(format!("{} was unanswered at SIGKILL: {error}", request.id));
+                None
+            }
             // The node may have closed the idle connection before the request arrived.
             Err(error) if was_idle && error.kind() != ErrorKind::WouldBlock => {
                 self.resend(request, started_at)
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::crowd;
 use crate::discovery::Discovery;
-use crate::node_history::{EndCause, NodeHistory};
+use crate::node_history::{EARLIEST_KILL, EndCause, NodeHistory};
 use crate::plan::{Fault, Plan, Size};
 use crate::proxy::Proxy;
 use crate::verdict::Verdict;
@@ -19,8 +19,6 @@
 const DESCRIPTOR_LIMIT: usize = 256;
 /// Memory limit of each node in megabytes.
 const MEMORY_MB: u64 = 64;
-/// SIGKILL follows SIGTERM after this time: the longest deadline, counted as 3 s, and 0.7 s more.
-const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
 /// How often a node is reloaded in a series.
 const RELOADS_IN_A_ROW: usize = 5;
 /// The time that a worker takes to run a job.
--- a/crates/soak/src/node_history.rs
+++ b/crates/soak/src/node_history.rs
@@ -4,6 +4,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// SIGKILL follows SIGTERM after this time: the longest deadline, counted as 3 s, and 0.7 s more.
+pub const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+
 /// One process of a node.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Incarnation {
@@ -70,6 +73,14 @@
         matches!(self.end_of(incarnation), Some(EndCause::Killed))
     }
 
+    /// Whether SIGKILL has followed SIGTERM at this incarnation while a request was outstanding whose sending began at
+    /// `request_started_at`.
+    pub fn was_killed_after_sigterm(&self, incarnation: &Incarnation, request_started_at: Instant) -> bool {
+        let Some(EndCause::Terminated(at)) = self.end_of(incarnation) else { return false };
+        let killed_at = at + EARLIEST_KILL;
+        request_started_at < killed_at && Instant::now() >= killed_at
+    }
+
     /// Whether an incarnation may close a connection without an answer to a request whose sending began at
     /// `request_started_at`: it was killed, or SIGTERM was sent to it more than `accept_period` earlier.
     pub fn may_close(
