Overload tests: bounds from the settings, an answer to evicted requests, clients that stay

- The test of two processes had a limit of 40 MB, chosen between the figures before and after.
It now takes the least memory that a node accepts, 32 MB, counts pages of the program that both share once, and also holds bodies of both to bodies.memory.total_bytes.
- The departure tests passed on a node that sends nothing at all: a client that stays behind many bytes must now be served.

--- a/crates/node/tests/overload/departure.rs
+++ b/crates/node/tests/overload/departure.rs
@@ -1,7 +1,7 @@
 //! Clients that close their connection while the node has not read much of what they sent.
 
 use crate::node::{Limits, Node};
-use sorrelhaven_test_support::{CpuShare, WorkerBehavior};
+use sorrelhaven_test_support::{CpuShare, TestRequest, TestResponse, WorkerBehavior};
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::TcpStream;
@@ -93,6 +93,16 @@
     Instant::now()
 }
 
+/// Sends a request and many bytes behind it, and stays. Returns the status of the answer.
+fn send_and_stay(address: &str) -> u16 {
+    let mut stream = TcpStream::connect(address).expect("the node accepts the connection");
+    let request = TestRequest::new("Stays-0", "renewal-check", b"x".to_vec());
+    let text = request.head() + "x" + &"x".repeat(BODY_BYTES);
+    let sent_at = Instant::now();
+    stream.write_all(text.as_bytes()).expect("the system takes the bytes");
+    TestResponse::read(&mut stream, sent_at).expect("the request is answered").status
+}
+
 /// Guards against requests that are sent on after their client has closed its connection, behind bytes that the node
 /// has not read.
 fn nothing_is_sent_for_clients_that_have_left(behavior: WorkerBehavior, name: &str) {
@@ -109,12 +119,15 @@
         }
     }
     thread::sleep(WATCH_TIME);
+    node.workers.set_default_behavior(WorkerBehavior::Done);
+    assert_eq!(send_and_stay(&node.program.address), 200, "a client that stays must be served");
     let mut late = Vec::new();
     let arrivals = node.workers.arrivals();
     println!("{} attempts were begun", arrivals.len());
     for (id, at) in arrivals {
         let (prefix, _) = id.split_once('-').expect("the id has a prefix");
-        let after_close = at.saturating_duration_since(closed_at[prefix]);
+        let Some(&closed_at) = closed_at.get(prefix) else { continue };
+        let after_close = at.saturating_duration_since(closed_at);
         if after_close > MAX_SEND_AFTER_CLOSE {
             late.push(format!("{id} was sent {after_close:?} after its client had closed"));
         }
--- /dev/null
+++ b/crates/node/tests/overload/eviction.rs
@@ -0,0 +1,40 @@
+//! Connections that give way to others when descriptors run out.
+
+use crate::node::{Limits, Node};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// The fewest descriptors that a node accepts, of which 16 are for clients.
+const LIMITS: Limits = Limits { memory_mb: 32, sockets: 64 };
+/// Several times as many clients as the node accepts at once.
+const CLIENTS: usize = 48;
+/// How long a client waits for its answer: longer than an incomplete request may take.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Guards against an incomplete request that is evicted without an answer: its client may have sent the rest already.
+#[test]
+fn a_client_whose_incomplete_request_is_evicted_gets_an_answer() {
+    let node = Node::start(LIMITS, "evicted");
+    let half_a_request = "POST /api HTTP/1.1\r\nRequest-Id: half\r\n";
+    let clients: Vec<TcpStream> = (0..CLIENTS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(&node.program.address).expect("the connection is queued");
+            stream.write_all(half_a_request.as_bytes()).expect("the system takes the bytes");
+            stream
+        })
+        .collect();
+    let answers: Vec<String> = clients.into_iter().map(read_answer).collect();
+    let evicted = answers.iter().filter(|answer| answer.starts_with("HTTP/1.1 503 ")).count();
+    let timed_out = answers.iter().filter(|answer| answer.starts_with("HTTP/1.1 408 ")).count();
+    assert!(evicted > 0, "no connection was evicted: {answers:?}");
+    assert_eq!(evicted + timed_out, CLIENTS, "{answers:?}");
+}
+
+/// Reads until the node closes the connection.
+fn read_answer(mut stream: TcpStream) -> String {
+    stream.set_read_timeout(Some(READ_TIMEOUT)).expect("the read timeout can be set");
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
--- a/crates/node/tests/overload/main.rs
+++ b/crates/node/tests/overload/main.rs
@@ -3,6 +3,7 @@
 mod bystander;
 mod crowd;
 mod departure;
+mod eviction;
 mod flood;
 mod memory;
 mod node;
--- a/crates/node/tests/overload/memory.rs
+++ b/crates/node/tests/overload/memory.rs
@@ -4,7 +4,13 @@
 use crate::crowd::{CrowdKind, run_crowd};
 use crate::node::{Limits, Node};
 use sorrelhaven_test_support::WorkerBehavior;
+use std::thread;
+use std::time::Duration;
 
+/// The default of `bodies.memory.total_bytes`.
+const BODY_MEMORY_BYTES: u64 = 8 << 20;
+/// How often the memory of bodies is read.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 /// The largest result that the protocol allows.
 const RESULT_BYTES: usize = 64 * 1024;
 /// The fraction of a bystander's requests that must be served beside a crowd: half, as the gate wants it.
@@ -59,15 +65,25 @@
     crowds_stay_within(Limits { memory_mb: 192, sockets: 1024 }, "crowd-192-1024");
 }
 
-/// During an upgrade two processes are one node to the platform's limits.
+/// During an upgrade two processes are one node to the limits: on memory, and on bodies in memory.
 #[test]
 fn crowds_of_clients_at_two_processes_stay_within_the_memory_of_one() {
-    let limits = Limits { memory_mb: 40, sockets: 1024 };
+    let limits = Limits { memory_mb: 32, sockets: 1024 };
     let (mut node, address) = Node::start_upgrade(limits, "crowd-upgrade");
     node.workers.set_id_behavior("silent", WorkerBehavior::Silent);
     let mut faults = Vec::new();
     for kind in [CrowdKind::HalfBodies, CrowdKind::HalfChunkedBodies, CrowdKind::BytesBehindARequest] {
-        run_crowd(&address, kind, full_crowd(limits));
+        let crowd_address = address.clone();
+        let crowd = thread::spawn(move || run_crowd(&crowd_address, kind, full_crowd(limits)));
+        let mut most_body_bytes = 0;
+        while !crowd.is_finished() {
+            most_body_bytes = most_body_bytes.max(node.body_memory_bytes());
+            thread::sleep(SAMPLE_INTERVAL);
+        }
+        println!("{most_body_bytes} bytes of bodies were in memory: {kind:?}");
+        if most_body_bytes > BODY_MEMORY_BYTES {
+            faults.push(format!("{most_body_bytes} bytes of bodies, over {BODY_MEMORY_BYTES}: {kind:?}"));
+        }
         faults.extend(node.faults(&format!("{kind:?}")));
     }
     assert_eq!(faults, [""; 0]);
--- a/crates/node/tests/overload/node.rs
+++ b/crates/node/tests/overload/node.rs
@@ -66,12 +66,20 @@
         (Node { program, workers, limits, upgraded, scratch }, address.to_string())
     }
 
-    /// The most memory that the node has used, its temporary files included.
+    /// The most memory that the node has used, its temporary files included. The pages of the program that two
+    /// processes share count once.
     pub fn peak_memory_bytes(&self) -> u64 {
-        let upgraded = self.upgraded.as_ref().map_or(0, Program::peak_memory_bytes);
+        let unshared = |program: &Program| program.peak_memory_bytes() - program.file_memory_bytes();
+        let upgraded = self.upgraded.as_ref().map_or(0, unshared);
         self.program.peak_memory_bytes() + upgraded + directory_bytes(&self.scratch.path(TEMPORARY_DIRECTORY))
     }
 
+    /// The bytes of bodies that all processes of the node hold in memory now.
+    pub fn body_memory_bytes(&mut self) -> u64 {
+        let upgraded = self.upgraded.as_mut().map_or(0, |program| program.counter("memory_bytes"));
+        self.program.counter("memory_bytes") + upgraded
+    }
+
     /// What is wrong with the process: it has ended, or used more memory than its limit.
     pub fn faults(&mut self, after: &str) -> Vec<String> {
         if let Some(status) = self.program.child.try_wait().expect("the process can be observed") {
--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -92,9 +92,20 @@
 
     /// The most physical memory that the program has used since its start, in bytes; 0 if it has ended.
     pub fn peak_memory_bytes(&self) -> u64 {
+        self.status_bytes("VmHWM:")
+    }
+
+    /// The physical memory that holds pages of files, such as the program itself, in bytes; 0 if the program has ended.
+    /// Processes of the same program share these pages.
+    pub fn file_memory_bytes(&self) -> u64 {
+        self.status_bytes("RssFile:")
+    }
+
+    /// The size on the line of the process's status that begins with `key`, in bytes.
+    fn status_bytes(&self, key: &str) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
         let status = std::fs::read_to_string(path).unwrap_or_default();
-        let size = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let size = status.lines().find_map(|line| line.strip_prefix(key));
         let kib = size.and_then(|size| size.trim().strip_suffix("kB")?.trim().parse::<u64>().ok());
         kib.unwrap_or(0) * 1024
     }
