--- a/crates/engine/src/connection_pool.rs
+++ b/crates/engine/src/connection_pool.rs
@@ -66,7 +66,8 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool, whose connections take the memory for their buffers from `buffers`. `keepalive`: workers close connections that have been idle for this long.
+    /// Creates an empty pool, whose connections take the memory for their buffers from `buffers`.
+    /// `keepalive`: workers close connections that have been idle for this long.
     pub fn new(
         descriptors: Rc<DescriptorBudget>,
         buffers: Rc<BufferBudget>,
--- a/crates/engine/src/counters.rs
+++ b/crates/engine/src/counters.rs
@@ -30,8 +30,10 @@
 pub struct Counters {
     classes: Vec<(String, ClassCounters)>,
     in_progress: Cell<u64>,
-    /// Requests refused because a request with the same id was in progress.
+    /// Requests refused because their id was in progress, or must not run twice and may have run.
     pub duplicate_ids: Counter,
+    /// Requests failed because the table of claimed ids could not be used.
+    pub claims_unavailable: Counter,
     /// Attempts started, including those that were never sent.
     pub attempts: Counter,
     /// Attempts whose request was written up to the last byte.
@@ -147,6 +149,7 @@
             ("client_gone", self.total(|class| &class.client_gone)),
             ("in_progress", self.in_progress()),
             ("duplicate_ids", self.duplicate_ids.get()),
+            ("claims_unavailable", self.claims_unavailable.get()),
             ("attempts", self.attempts.get()),
         ];
         metrics.extend(OUTCOME_NAMES.iter().zip(&self.outcomes).map(|(name, count)| (*name, count.get())));
--- a/crates/engine/src/memory_limits.rs
+++ b/crates/engine/src/memory_limits.rs
@@ -6,8 +6,8 @@
 
 /// The unit of `limits.memory_mb`.
 const BYTES_PER_MB: u64 = 1 << 20;
-/// Each budget is the memory beside stored bodies divided by this. Half of that memory is for everything that has
-/// no budget: the program, the worker list, and the fixed part of each connection and request.
+/// Each of the three budgets is the memory beside stored bodies divided by this. The other three quarters are for
+/// everything that has no budget: the program, the worker list, and the fixed part of each connection and request.
 const BUDGET_DIVISOR: u64 = 12;
 
 /// The budgets for the buffers of connections. They are separate, so that clients can't take the memory that
--- a/crates/engine/src/request_admission.rs
+++ b/crates/engine/src/request_admission.rs
@@ -80,10 +80,7 @@
     /// an earlier request with this id may have run, also in another process of this node.
     /// [`AdmissionError::ClaimsUnavailable`] if the latter is unknown.
     pub fn admit(&self, job: Job) -> Result<RequestHandle, AdmissionError> {
-        self.claim_id(&job).inspect_err(|error| {
-            self.context.counters.duplicate_ids.increment();
-            debug!(id = %job.payload.id, %error, "request refused");
-        })?;
+        self.claim_id(&job).inspect_err(|error| self.record_refusal(&job.payload.id, *error))?;
         debug!(id = %job.payload.id, class = job.class, "request admitted");
         let (messages, receiver) = async_channel::unbounded();
         let (answer_sender, answer) = async_channel::bounded(1);
@@ -96,6 +93,15 @@
         Ok(RequestHandle { messages, answer })
     }
 
+    fn record_refusal(&self, id: &str, error: AdmissionError) {
+        debug!(id, %error, "request refused");
+        let counters = &self.context.counters;
+        match error {
+            AdmissionError::DuplicateId => counters.duplicate_ids.increment(),
+            AdmissionError::ClaimsUnavailable => counters.claims_unavailable.increment(),
+        }
+    }
+
     /// Marks the id of a request as in progress and, if it must not run twice, claims it.
     fn claim_id(&self, job: &Job) -> Result<(), AdmissionError> {
         let id = &job.payload.id;
