Review cases 6 and 7: the scripts name and make record.txt themselves

Cause: the record was written by the shared stand-ins only, so nothing in a case's folder wrote it, and there was none where a case could not run.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -44,6 +44,7 @@
         sent.insert(bad.id.bytes().map(char::from).collect());
         let Ok(mut stream) = TcpStream::connect(nodes[number % NODES].address) else { continue };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(7)));
+        case.log(&format!("bad client sends id={:?} class={}", bad.id, bad.class));
         let _ = stream.write_all(&bad.bytes());
         let status = read_message(&mut BufReader::new(stream)).map_or(0, |answer| answer.status());
         served += u32::from(status == 200);
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -23,25 +23,22 @@
     started: Instant,
     record: Mutex<File>,
     pub trouble: bool,
-    pub folder: PathBuf,
     pub temp: PathBuf,
     ended: AtomicBool,
 }
 
 impl Case {
-    /// Reads the arguments of the case's program: the folder of the case, and a private temporary folder.
+    /// Reads the arguments of the case's program: the case's record.txt, and a private temporary folder.
     pub fn new() -> Arc<Case> {
         let mut arguments = std::env::args().skip(1).map(PathBuf::from);
-        let folder = arguments.next().unwrap_or_else(|| could_not_run("no folder"));
+        let record = arguments.next().unwrap_or_else(|| could_not_run("no path of record.txt"));
         let temp = arguments.next().unwrap_or_else(|| could_not_run("no temporary folder"));
-        let record =
-            File::create(folder.join("record.txt")).unwrap_or_else(|error| could_not_run(&error.to_string()));
+        let record = File::create(record).unwrap_or_else(|error| could_not_run(&error.to_string()));
         let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
         let case = Case {
             started: Instant::now(),
             record: Mutex::new(record),
             trouble,
-            folder,
             temp,
             ended: AtomicBool::new(false),
         };
