Header values keep their bytes: a field that can't be read is refused, not cut

Cause: Header::new made text of each value with from_utf8_lossy and str::trim, which cuts all white space of Unicode; HTTP has only space and tab there, and the parser has removed them already. The check of the id, the decoder of lengths and the proof in Not-Started saw the changed value. Observed: for "abc" and a no-break space the parser gives all five bytes, Head three.

Change: values are bytes. They become text where they decide something, and only if they are printable ASCII, spaces and tabs (Head::text, Head::list); other values are answered 400, at a worker's response they prove nothing. Classes, tenants and affinity keys are compared and hashed as bytes; Idempotency-Key and Content-Type travel on as bytes. Members of lists are trimmed by HTTP's white space only, and lists in several fields of one name are read as one (RFC 9110, 5.3). The stand-in of our own tests cut ids in the same way; it compares bytes now.

--- a/crates/admin/tests/metrics_consistency.rs
+++ b/crates/admin/tests/metrics_consistency.rs
@@ -64,7 +64,7 @@
     };
     futures_lite::future::block_on(stored).expect("the body is stored");
     let (id, method, target) = (format!("q-{number}").into(), "POST".to_string(), "/api".to_string());
-    let headers = vec![("Idempotency-Key", format!("k-{number}"))];
+    let headers = vec![("Idempotency-Key", format!("k-{number}").into_bytes())];
     Job {
         class: case.class,
         deadline: engine.dispatcher_loop.clock.now() + case.timeout,
--- a/crates/config/src/hosts.rs
+++ b/crates/config/src/hosts.rs
@@ -143,10 +143,10 @@
     }
 }
 
-/// The 64-bit FNV-1a hash of a text, which is the same at every dispatcher and in every version of the
-/// program.
-pub fn stable_hash(text: &str) -> u64 {
+/// The 64-bit FNV-1a hash of a text, in UTF-8, or of bytes, which is the same at every dispatcher and in every version
+/// of the program.
+pub fn stable_hash<T: AsRef<[u8]> + ?Sized>(bytes: &T) -> u64 {
     const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
-    text.bytes().fold(OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+    bytes.as_ref().iter().fold(OFFSET_BASIS, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(PRIME))
 }
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -7,7 +7,6 @@
 use sorrelhaven_dispatcher::{Micros, WorkerId};
 use sorrelhaven_wire::PeerCloseDetector;
 use std::cell::Cell;
-use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -43,8 +42,8 @@
     pub method: String,
     /// The request target: path and query.
     pub target: String,
-    /// Further header fields, as name and value.
-    pub headers: Vec<(&'static str, String)>,
+    /// Further header fields, as name and value. A value is sent byte for byte as the client sent it.
+    pub headers: Vec<(&'static str, Vec<u8>)>,
     /// The body, stored or still being uploaded.
     pub body: RequestBody,
 }
@@ -55,20 +54,28 @@
     /// transfer coding.
     pub fn head(&self, host: &str, deadline: Instant, length: Option<u64>) -> Vec<u8> {
         let remaining = deadline.saturating_duration_since(Instant::now());
-        // Writing to a String cannot fail.
-        let mut head = format!("{} {} HTTP/1.1\r\nHost: {host}\r\n", self.method, self.target);
-        let _ = write!(head, "Request-Id: {}\r\nRequest-Timeout: {}u\r\n", self.id, remaining.as_micros());
+        let mut head = format!("{} {} HTTP/1.1\r\nHost: {host}\r\n", self.method, self.target).into_bytes();
+        append_field(&mut head, "Request-Id", self.id.as_bytes());
+        append_field(&mut head, "Request-Timeout", format!("{}u", remaining.as_micros()).as_bytes());
         for (name, value) in &self.headers {
-            let _ = write!(head, "{name}: {value}\r\n");
+            append_field(&mut head, name, value);
         }
-        let _ = match length {
-            Some(length) => write!(head, "Content-Length: {length}\r\n\r\n"),
-            None => write!(head, "Transfer-Encoding: chunked\r\n\r\n"),
-        };
-        head.into_bytes()
+        match length {
+            Some(length) => append_field(&mut head, "Content-Length", length.to_string().as_bytes()),
+            None => append_field(&mut head, "Transfer-Encoding", b"chunked"),
+        }
+        head.extend_from_slice(b"\r\n");
+        head
     }
 }
 
+fn append_field(head: &mut Vec<u8>, name: &str, value: &[u8]) {
+    head.extend_from_slice(name.as_bytes());
+    head.extend_from_slice(b": ");
+    head.extend_from_slice(value);
+    head.extend_from_slice(b"\r\n");
+}
+
 /// The state of a request that its attempts share.
 #[derive(Default)]
 pub struct RequestState {
--- a/crates/engine/src/load_report.rs
+++ b/crates/engine/src/load_report.rs
@@ -18,8 +18,8 @@
     }
 
     /// Parses the JSON text of a report in a response header; `None` if it is malformed.
-    pub fn parse_text(&self, text: &str) -> Option<Vec<f64>> {
-        self.parse_value(&serde_json::from_str(text).ok()?)
+    pub fn parse_text(&self, text: &[u8]) -> Option<Vec<f64>> {
+        self.parse_value(&serde_json::from_slice(text).ok()?)
     }
 
     /// Parses a report in a job line. Returns the value of each field, NaN for an absent one.
--- a/crates/engine/src/probe.rs
+++ b/crates/engine/src/probe.rs
@@ -36,7 +36,7 @@
         StartLine::Response { status: 200 } => {}
         _ => return Err(AttemptEnd::Failed),
     }
-    if head.keeps_alive() {
+    if head.keeps_alive().unwrap_or(false) {
         upstreams.pool.check_in(worker, upstream);
     }
     Ok(())
--- a/crates/engine/src/response_reader.rs
+++ b/crates/engine/src/response_reader.rs
@@ -61,7 +61,7 @@
     keeps_alive: bool,
     lines: LineReader,
     /// The load report in the head, as JSON text.
-    head_load_report: Option<String>,
+    head_load_report: Option<Vec<u8>>,
     /// The load report in the last job line that was read.
     line_load_report: Option<Value>,
 }
@@ -75,14 +75,15 @@
     pub async fn read_head(connection: &mut Connection) -> Result<ResponseReader, AttemptEnd> {
         let head = connection.read_head(Head::parse_response).await.map_err(AttemptEnd::unreadable)?;
         let StartLine::Response { status } = head.start_line else { return Err(AttemptEnd::Malformed) };
-        let is_rejection = matches!(status, 503 | 504) && head.get("Not-Started") == Some("1");
+        let is_rejection = matches!(status, 503 | 504) && head.first_text("Not-Started") == Ok(Some("1"));
         let body = head.body_decoder().map_err(AttemptEnd::unreadable)?;
         Ok(ResponseReader {
             status,
             is_rejection,
-            keeps_alive: head.keeps_alive(),
+            // A `Connection` header that can't be read doesn't concern the job, but may have said `close`.
+            keeps_alive: head.keeps_alive().unwrap_or(false),
             lines: LineReader::new(body, MAX_JOB_LINE_BYTES, connection.new_reservation()),
-            head_load_report: head.get_unique("Server-Load").map(str::to_string),
+            head_load_report: head.value("Server-Load").ok().flatten().map(<[u8]>::to_vec),
             line_load_report: None,
         })
     }
--- a/crates/engine/src/tests/load_report_fields.rs
+++ b/crates/engine/src/tests/load_report_fields.rs
@@ -3,7 +3,7 @@
 use crate::load_report::LoadReportFields;
 
 fn parse(text: &str) -> Option<Vec<f64>> {
-    LoadReportFields::new(vec!["x0".into(), "util".into()]).parse_text(text)
+    LoadReportFields::new(vec!["x0".into(), "util".into()]).parse_text(text.as_bytes())
 }
 
 #[test]
@@ -35,7 +35,7 @@
         assert_eq!(parse(text), None, "malformed report: {text:?}");
     }
     assert_eq!(
-        LoadReportFields::new(Vec::new()).parse_text(r#"{"x0":2}"#),
+        LoadReportFields::new(Vec::new()).parse_text(br#"{"x0":2}"#),
         None,
         "without fields in the settings every report is malformed"
     );
--- a/crates/engine/src/tests/mod.rs
+++ b/crates/engine/src/tests/mod.rs
@@ -13,5 +13,6 @@
 mod pooled_connection;
 mod request_sent;
 mod request_task;
+mod response_fields;
 mod start_times;
 mod tasks;
--- /dev/null
+++ b/crates/engine/src/tests/response_fields.rs
@@ -0,0 +1,102 @@
+//! Header fields of a worker's response that can't be read.
+
+use super::fixtures::{attempt_spec, engine_with_config, next_end, payload, run_attempt};
+use crate::attempt_end::AttemptEnd;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// White space of Unicode in UTF-8, which HTTP has not, and a byte that is no UTF-8.
+const SPOILERS: [&[u8]; 4] = [b"\xc2\xa0", b"\xc2\x85", b"\xe3\x80\x80", b"\xff"];
+
+fn read_request(stream: &mut TcpStream) -> bool {
+    let mut received = Vec::new();
+    let mut byte = [0];
+    while !received.ends_with(b"\r\n\r\nbody") {
+        if stream.read(&mut byte).unwrap_or(0) == 0 {
+            return false;
+        }
+        received.push(byte[0]);
+    }
+    true
+}
+
+/// Runs two attempts one after the other, whose worker answers each request with `response`. Returns how the first one
+/// ended, the number of connections that the node has opened, and the number of malformed load reports.
+fn attempts_with_response(response: &[u8]) -> (AttemptEnd, usize, u64) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let response = response.to_vec();
+    let worker = std::thread::spawn(move || {
+        let (mut connections, mut requests) = (0, 0);
+        while requests < 2 {
+            let (mut stream, _) = listener.accept().expect("the node connects");
+            connections += 1;
+            while requests < 2 && read_request(&mut stream) {
+                requests += 1;
+                stream.write_all(&response).expect("the node reads the response");
+            }
+        }
+        connections
+    });
+    let text = sorrelhaven_test_support::single_worker_config(address, "at_most_once")
+        .replace(r#""balancers":1"#, r#""balancers":1,"report":{"how":"answers","fields":["x0"]}"#);
+    let engine = engine_with_config(&text);
+    let payload = Rc::new(payload(&engine, "/api", b"body"));
+    let spec = || attempt_spec(Duration::from_secs(9));
+    let end = next_end(&run_attempt(&engine, payload.clone(), spec()));
+    run_attempt(&engine, payload, spec());
+    let connections = worker.join().expect("the worker has not panicked");
+    (end, connections, engine.counters.load_reports_malformed.get())
+}
+
+fn response_with(status: &str, name: &str, value: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n{name}: ");
+    [head.as_bytes(), value, b"\r\n\r\n"].concat()
+}
+
+/// Each value before and after `value`.
+fn spoiled(value: &[u8]) -> impl Iterator<Item = Vec<u8>> {
+    SPOILERS.into_iter().flat_map(move |spoiler| [[spoiler, value].concat(), [value, spoiler].concat()])
+}
+
+/// Guards against a request being sent again, or rejected, on a proof that can't be read. The protocol: only "503 or 504
+/// with `Not-Started: 1`" says that it has never run.
+#[test]
+fn a_not_started_that_cannot_be_read_is_no_proof() {
+    let sound = attempts_with_response(&response_with("503 Full", "Not-Started", b"\t1 "));
+    assert_eq!(sound, (AttemptEnd::Rejected, 1, 0));
+    for value in spoiled(b"1") {
+        let (end, ..) = attempts_with_response(&response_with("503 Full", "Not-Started", &value));
+        assert_eq!(end, AttemptEnd::Failed, "{}", value.escape_ascii());
+    }
+}
+
+/// Guards against a connection that the worker may have announced to close being used again.
+#[test]
+fn a_connection_option_that_cannot_be_read_ends_the_use_of_the_connection() {
+    for value in spoiled(b"close") {
+        let ended = attempts_with_response(&response_with("500 Oops", "Connection", &value));
+        assert_eq!(ended, (AttemptEnd::Failed, 2, 0), "{}", value.escape_ascii());
+    }
+}
+
+/// Guards against a response whose end is unknown being taken for a whole one.
+#[test]
+fn a_length_that_cannot_be_read_is_a_malformed_response() {
+    for value in spoiled(b"0") {
+        let response = [b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: ", &value[..], b"\r\n\r\n"];
+        let (end, ..) = attempts_with_response(&response.concat());
+        assert_eq!(end, AttemptEnd::Malformed, "{}", value.escape_ascii());
+    }
+}
+
+/// Guards against a load report that can't be read being cut until it can.
+#[test]
+fn a_load_report_that_cannot_be_read_is_counted_and_dropped() {
+    for value in spoiled(br#"{"x0":1}"#) {
+        let (_, _, malformed) = attempts_with_response(&response_with("500 Oops", "Server-Load", &value));
+        assert_eq!(malformed, 2, "{}", value.escape_ascii());
+    }
+}
--- a/crates/frontend-http1/src/parsed_request.rs
+++ b/crates/frontend-http1/src/parsed_request.rs
@@ -6,7 +6,7 @@
 use sorrelhaven_config::stable_hash;
 use sorrelhaven_dispatcher::Micros;
 use sorrelhaven_lifecycle::Lifecycle;
-use sorrelhaven_wire::{BodyDecoder, Connection, Head, StartLine, WireError};
+use sorrelhaven_wire::{BodyDecoder, Connection, Head, StartLine, WireError, trim_white_space};
 
 /// The part of the client's timeout that is left for the network round trip, so that the answer reaches the
 /// client before the timeout expires.
@@ -34,23 +34,30 @@
     /// Reads the head of the next request on the connection.
     ///
     /// # Errors
-    /// The head could not be read, or its headers that state the length of the body are invalid or ambiguous.
+    /// The head could not be read, or its headers that concern the connection or state the length of the body are
+    /// invalid or ambiguous.
     pub async fn read(frontend: &Frontend, connection: &mut Connection) -> Result<ParsedRequest, WireError> {
         let head = connection.read_head(Head::parse_request).await?;
         let received_at = frontend.engine.dispatcher_loop.clock.now();
         let body_decoder = head.body_decoder()?;
         let has_body = body_decoder != BodyDecoder::Length(0);
-        let expects_continue =
-            has_body && head.get("Expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
+        let expects_continue = has_body && expects_continue(&head)?;
+        let keeps_alive = head.keeps_alive()?;
         Ok(ParsedRequest {
             draft: route(frontend, &head, received_at),
             body_decoder,
             expects_continue,
-            keeps_alive: head.keeps_alive(),
+            keeps_alive,
         })
     }
 }
 
+/// Whether the client waits for `100 Continue`. Other expectations are ignored.
+fn expects_continue(head: &Head) -> Result<bool, WireError> {
+    let expectations = head.list("Expect")?;
+    Ok(expectations.iter().any(|expectation| expectation.eq_ignore_ascii_case("100-continue")))
+}
+
 /// Routes a request by its path and method: returns the draft of a valid job, or the response to any other
 /// request.
 fn route(frontend: &Frontend, head: &Head, received_at: Micros) -> Result<RequestDraft, Response> {
@@ -99,8 +106,8 @@
             deadline: received_at.saturating_add((timeout - ROUND_TRIP_ALLOWANCE_MICROS).max(0)),
             work_hint,
             slots,
-            is_retry: self.head.get("Client-Retry") == Some("1"),
-            affinity_key: self.head.get("Affinity-Key").map_or(0, stable_hash),
+            is_retry: self.first_text("Client-Retry")? == Some("1"),
+            affinity_key: self.head.first_value("Affinity-Key").map_or(0, stable_hash),
             id,
             method: method.to_string(),
             target: target.to_string(),
@@ -108,10 +115,20 @@
         })
     }
 
-    /// The value of a header that must be present exactly once and be printable ASCII without spaces. Two
-    /// values are invalid because the header may be forwarded, and the worker might read the other one.
+    /// The value of a header, byte for byte; `None` without one. Two values are invalid because the worker or
+    /// another recipient might read the other one.
+    fn value(&self, name: &str) -> Result<Option<&[u8]>, Response> {
+        self.head.value(name).map_err(|_| invalid_header(name))
+    }
+
+    /// The value of the first header of this name as text; `None` without one.
+    fn first_text(&self, name: &str) -> Result<Option<&str>, Response> {
+        self.head.first_text(name).map_err(|_| invalid_header(name))
+    }
+
+    /// The value of a header that must be present exactly once and be printable ASCII without spaces.
     fn required(&self, name: &str) -> Result<&str, Response> {
-        match self.head.get_unique(name) {
+        match self.head.text(name).map_err(|_| invalid_header(name))? {
             Some(value) if !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_graphic()) => {
                 Ok(value)
             }
@@ -119,19 +136,21 @@
         }
     }
 
+    /// The class, named byte for byte as in the settings.
     fn class(&self) -> Result<usize, Response> {
-        let name = self.required("Request-Class")?;
-        let class = self.frontend.classes.iter().position(|class| class.name == name);
+        let name = self.value("Request-Class")?;
+        let class = self.frontend.classes.iter().position(|class| Some(class.name.as_bytes()) == name);
         class.ok_or_else(|| invalid_header("Request-Class"))
     }
 
+    /// The tenant, named byte for byte as in the settings. Without tenants in the settings the header is ignored.
     fn tenant(&self) -> Result<usize, Response> {
-        let name = self.head.get("Tenant");
-        match self.frontend.tenants.iter().position(|tenant| Some(tenant.as_str()) == name) {
-            Some(tenant) => Ok(tenant),
-            None if self.frontend.tenants.is_empty() => Ok(0),
-            None => Err(invalid_header("Tenant")),
+        if self.frontend.tenants.is_empty() {
+            return Ok(0);
         }
+        let name = self.head.first_value("Tenant");
+        let tenant = self.frontend.tenants.iter().position(|tenant| Some(tenant.as_bytes()) == name);
+        tenant.ok_or_else(|| invalid_header("Tenant"))
     }
 
     fn timeout(&self) -> Result<Micros, Response> {
@@ -139,19 +158,19 @@
     }
 
     fn work_hint(&self) -> Result<Option<Micros>, Response> {
-        let Some(text) = self.head.get("Work-Hint") else { return Ok(None) };
+        let Some(text) = self.first_text("Work-Hint")? else { return Ok(None) };
         text.parse::<Micros>().map(Some).map_err(|_| invalid_header("Work-Hint"))
     }
 
     fn slots(&self) -> Result<f64, Response> {
-        let info = self.head.get("Request-Info").unwrap_or_default();
-        parse_slots(info).ok_or_else(|| invalid_header("Request-Info"))
+        let figures = self.head.list("Request-Info").map_err(|_| invalid_header("Request-Info"))?;
+        parse_slots(&figures).ok_or_else(|| invalid_header("Request-Info"))
     }
 
-    /// The headers that are forwarded to the worker.
-    fn forwarded(&self) -> Vec<(&'static str, String)> {
+    /// The headers that are forwarded to the worker, byte for byte.
+    fn forwarded(&self) -> Vec<(&'static str, Vec<u8>)> {
         let names = ["Idempotency-Key", "Content-Type"];
-        let present = |name| self.head.get(name).map(|value| (name, value.to_string()));
+        let present = |name| self.head.first_value(name).map(|value| (name, value.to_vec()));
         names.into_iter().filter_map(present).collect()
     }
 }
@@ -171,14 +190,13 @@
     is_valid.then(|| micros.min(MAX_TIMEOUT_MICROS) as Micros)
 }
 
-/// Parses the slots that a job occupies: `slots=`, or its alias `width=`, among the comma-separated fields of
-/// `Request-Info`. Returns [`DEFAULT_SLOTS`] if neither is present, and `None` if that field or one before it
-/// is malformed.
-fn parse_slots(info: &str) -> Option<f64> {
-    for field in info.split(',').filter(|field| !field.trim().is_empty()) {
-        let (name, value) = field.split_once('=')?;
-        if matches!(name.trim(), "slots" | "width") {
-            let slots = value.trim().parse::<f64>().ok()?;
+/// Parses the slots that a job occupies: `slots=`, or its alias `width=`, among the figures of `Request-Info`.
+/// Returns [`DEFAULT_SLOTS`] if neither is present, and `None` if that figure or one before it is malformed.
+fn parse_slots(figures: &[&str]) -> Option<f64> {
+    for figure in figures {
+        let (name, value) = figure.split_once('=')?;
+        if matches!(trim_white_space(name), "slots" | "width") {
+            let slots = trim_white_space(value).parse::<f64>().ok()?;
             return (slots.is_finite() && slots >= 0.0).then_some(slots);
         }
     }
--- a/crates/frontend-http1/src/request_draft.rs
+++ b/crates/frontend-http1/src/request_draft.rs
@@ -30,7 +30,7 @@
     /// The request target: path and query.
     pub target: String,
     /// The names and values of the headers that are forwarded to the worker.
-    pub headers: Vec<(&'static str, String)>,
+    pub headers: Vec<(&'static str, Vec<u8>)>,
 }
 
 impl RequestDraft {
--- a/crates/frontend-http1/tests/downstream_connection.rs
+++ b/crates/frontend-http1/tests/downstream_connection.rs
@@ -86,7 +86,8 @@
         let ParsedHead { head, length: head_length } = parsed;
         let StartLine::Response { status } = head.start_line else { break };
         let length: usize = head
-            .get("Content-Length")
+            .text("Content-Length")
+            .expect("a readable Content-Length")
             .and_then(|length| length.parse().ok())
             .expect("a valid Content-Length");
         received = &received[head_length + length..];
--- a/crates/node/tests/program/main.rs
+++ b/crates/node/tests/program/main.rs
@@ -2,5 +2,6 @@
 
 mod configuration;
 mod connections;
+mod header_fields;
 mod node;
 mod requests;
--- a/crates/simulator/src/host.rs
+++ b/crates/simulator/src/host.rs
@@ -91,7 +91,7 @@
 fn listed_worker(row: WorkerRow<'_>) -> Result<ListedWorker, BatchError> {
     let entry = WorkerEntry {
         worker: WorkerId(0),
-        name_hash: stable_hash(&row.name),
+        name_hash: stable_hash(row.name.as_ref()),
         lifecycle: lifecycle_of(row.lifecycle)?,
         started_at: row.started_at,
         kind: row.kind,
--- a/crates/test-support/src/fake_workers/request_head.rs
+++ b/crates/test-support/src/fake_workers/request_head.rs
@@ -10,21 +10,23 @@
 }
 
 impl RequestHead {
-    /// Reads one head. Returns `None` if the connection ends before the blank line.
+    /// Reads one head. Returns `None` if the connection ends before the blank line. The id is kept byte for byte: each
+    /// byte becomes the character of the same number.
     pub(super) fn read(reader: &mut impl BufRead) -> Option<RequestHead> {
         let mut head = RequestHead { id: String::new(), body_length: None };
-        let mut line = String::new();
+        let mut line = Vec::new();
         let mut lines = 0;
         loop {
             line.clear();
-            if reader.read_line(&mut line).ok()? == 0 {
+            if reader.read_until(b'\n', &mut line).ok()? == 0 {
                 return None;
             }
             lines += 1;
-            match line.trim_end().split_once(": ") {
+            let text: String = line.iter().map(|&byte| char::from(byte)).collect();
+            match text.trim_end_matches(['\r', '\n']).split_once(": ") {
                 Some(("Request-Id", id)) => head.id = id.to_string(),
                 Some(("Content-Length", length)) => head.body_length = length.parse().ok(),
-                None if line.trim_end().is_empty() && lines > 1 => return Some(head),
+                None if text.trim_end_matches(['\r', '\n']).is_empty() && lines > 1 => return Some(head),
                 _ => {}
             }
         }
--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -2,6 +2,7 @@
 
 use crate::body::BodyDecoder;
 use crate::error::WireError;
+use crate::field_value::{InvalidField, is_token, members, text};
 
 /// The greatest length of a head, from the start line to the empty line.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -49,16 +50,13 @@
 #[derive(Clone, Debug)]
 struct Header {
     name: String,
-    value: String,
+    value: Vec<u8>,
 }
 
 impl Header {
-    /// Copies a parsed field. Bytes of the value that are not UTF-8 are replaced by U+FFFD.
+    /// Copies a parsed field. The parser has removed the white space around the value.
     fn new(field: &httparse::Header<'_>) -> Header {
-        Header {
-            name: field.name.to_string(),
-            value: String::from_utf8_lossy(field.value).trim().to_string(),
-        }
+        Header { name: field.name.to_string(), value: field.value.to_vec() }
     }
 }
 
@@ -113,38 +111,67 @@
         }
     }
 
-    /// The value of the first header field with this name, which is compared case-insensitively.
-    pub fn get(&self, name: &str) -> Option<&str> {
-        self.values(name).next()
+    /// The values of the header fields with this name, which is compared case-insensitively.
+    fn values(&self, name: &str) -> impl Iterator<Item = &[u8]> {
+        let matching = self.headers.iter().filter(move |header| header.name.eq_ignore_ascii_case(name));
+        matching.map(|header| header.value.as_slice())
     }
 
-    /// The value of the header field with this name; `None` if there are several or none.
-    pub fn get_unique(&self, name: &str) -> Option<&str> {
+    /// The value of the header field with this name, byte for byte; `None` without one.
+    ///
+    /// # Errors
+    /// `Repeated` if there are several.
+    pub fn value(&self, name: &str) -> Result<Option<&[u8]>, InvalidField> {
         let mut values = self.values(name);
-        let value = values.next()?;
+        let value = values.next();
         match values.next() {
-            None => Some(value),
-            Some(_) => None,
+            None => Ok(value),
+            Some(_) => Err(InvalidField::Repeated),
         }
     }
 
-    fn values(&self, name: &str) -> impl Iterator<Item = &str> {
-        let matching = self.headers.iter().filter(move |header| header.name.eq_ignore_ascii_case(name));
-        matching.map(|header| header.value.as_str())
+    /// The value of the header field with this name, as text; `None` without one.
+    ///
+    /// # Errors
+    /// `Repeated` if there are several. `NotText` if the value can't be read as text.
+    pub fn text(&self, name: &str) -> Result<Option<&str>, InvalidField> {
+        self.value(name)?.map(text).transpose()
     }
 
-    fn has_connection_option(&self, option: &str) -> bool {
-        let mut options = self.values("Connection").flat_map(|value| value.split(','));
-        options.any(|present| present.trim().eq_ignore_ascii_case(option))
+    /// The value of the first header field with this name, byte for byte.
+    pub fn first_value(&self, name: &str) -> Option<&[u8]> {
+        self.values(name).next()
+    }
+
+    /// The value of the first header field with this name, as text; `None` without one.
+    ///
+    /// # Errors
+    /// `NotText` if the value can't be read as text.
+    pub fn first_text(&self, name: &str) -> Result<Option<&str>, InvalidField> {
+        self.first_value(name).map(text).transpose()
+    }
+
+    /// The members of all comma-separated lists in header fields with this name.
+    ///
+    /// # Errors
+    /// `NotText` if one of the values can't be read as text.
+    pub fn list(&self, name: &str) -> Result<Vec<&str>, InvalidField> {
+        let lists = self.values(name).map(text).collect::<Result<Vec<&str>, InvalidField>>()?;
+        Ok(lists.into_iter().flat_map(members).collect())
     }
 
     /// Whether the sender keeps the connection open after this message: by the `Connection` header, or by the
     /// default of the HTTP version (only 1.1 does).
-    pub fn keeps_alive(&self) -> bool {
-        if self.has_connection_option("close") {
-            return false;
+    ///
+    /// # Errors
+    /// `Malformed` if the `Connection` header is not a list of tokens.
+    pub fn keeps_alive(&self) -> Result<bool, WireError> {
+        let options = self.list("Connection")?;
+        if !options.iter().all(|option| is_token(option)) {
+            return Err(WireError::Malformed);
         }
-        self.minor_version >= 1 || self.has_connection_option("keep-alive")
+        let has_option = |name: &str| options.iter().any(|option| option.eq_ignore_ascii_case(name));
+        Ok(!has_option("close") && (self.minor_version >= 1 || has_option("keep-alive")))
     }
 
     /// A decoder for the body, by the framing that the header fields declare.
@@ -164,7 +191,7 @@
                 parse_length(length)
             }
             (None, Some(coding)) => {
-                let is_chunked = coding.eq_ignore_ascii_case("chunked") && codings.next().is_none();
+                let is_chunked = coding.eq_ignore_ascii_case(b"chunked") && codings.next().is_none();
                 if is_chunked && self.minor_version >= 1 {
                     Ok(BodyDecoder::ChunkSize)
                 } else {
@@ -188,9 +215,10 @@
 
 /// Parses a `Content-Length`, which must consist of decimal digits only: `str::parse` would accept a sign
 /// too.
-fn parse_length(text: &str) -> Result<BodyDecoder, WireError> {
-    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+fn parse_length(value: &[u8]) -> Result<BodyDecoder, WireError> {
+    let digits = text(value)?;
+    if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
         return Err(WireError::Malformed);
     }
-    text.parse().map(BodyDecoder::Length).map_err(|_| WireError::BodyTooLarge)
+    digits.parse().map(BodyDecoder::Length).map_err(|_| WireError::BodyTooLarge)
 }
