A repeated header field that is no list is refused; the first one counted before

Seen: of two Tenant, Request-Timeout-like or Idempotency-Key fields the node read the first and dropped the second, and a worker's 503 with Not-Started 1 and 0 was the proof that its job had never run: a job that must not run twice could be sent again. RFC 9110, 5.3: only lists may be repeated. The protocol has Idempotency-Key travel on unchanged.

A request is answered 400; a repeated Not-Started is no proof, and the attempt's end is unknown.

--- a/crates/engine/src/response_reader.rs
+++ b/crates/engine/src/response_reader.rs
@@ -75,7 +75,7 @@
     pub async fn read_head(connection: &mut Connection) -> Result<ResponseReader, AttemptEnd> {
         let head = connection.read_head(Head::parse_response).await.map_err(AttemptEnd::unreadable)?;
         let StartLine::Response { status } = head.start_line else { return Err(AttemptEnd::Malformed) };
-        let is_rejection = matches!(status, 503 | 504) && head.first_text("Not-Started") == Ok(Some("1"));
+        let is_rejection = matches!(status, 503 | 504) && head.text("Not-Started") == Ok(Some("1"));
         let body = head.body_decoder().map_err(AttemptEnd::unreadable)?;
         Ok(ResponseReader {
             status,
--- a/crates/engine/src/tests/response_fields.rs
+++ b/crates/engine/src/tests/response_fields.rs
@@ -100,3 +100,13 @@
         assert_eq!(malformed, 2, "{}", value.escape_ascii());
     }
 }
+
+/// Guards against a response that contradicts itself being taken for a proof: the first of two fields counted.
+#[test]
+fn a_repeated_not_started_is_no_proof() {
+    for second in ["0", "1"] {
+        let value = format!("1\r\nNot-Started: {second}");
+        let (end, ..) = attempts_with_response(&response_with("503 Full", "Not-Started", value.as_bytes()));
+        assert_eq!(end, AttemptEnd::Failed, "Not-Started: 1, then {second}");
+    }
+}
--- a/crates/frontend-http1/src/parsed_request.rs
+++ b/crates/frontend-http1/src/parsed_request.rs
@@ -106,12 +106,12 @@
             deadline: received_at.saturating_add((timeout - ROUND_TRIP_ALLOWANCE_MICROS).max(0)),
             work_hint,
             slots,
-            is_retry: self.first_text("Client-Retry")? == Some("1"),
-            affinity_key: self.head.first_value("Affinity-Key").map_or(0, stable_hash),
+            is_retry: self.text("Client-Retry")? == Some("1"),
+            affinity_key: self.value("Affinity-Key")?.map_or(0, stable_hash),
             id,
             method: method.to_string(),
             target: target.to_string(),
-            headers: self.forwarded(),
+            headers: self.forwarded()?,
         })
     }
 
@@ -121,14 +121,14 @@
         self.head.value(name).map_err(|_| invalid_header(name))
     }
 
-    /// The value of the first header of this name as text; `None` without one.
-    fn first_text(&self, name: &str) -> Result<Option<&str>, Response> {
-        self.head.first_text(name).map_err(|_| invalid_header(name))
+    /// The value of a header as text; `None` without one.
+    fn text(&self, name: &str) -> Result<Option<&str>, Response> {
+        self.head.text(name).map_err(|_| invalid_header(name))
     }
 
     /// The value of a header that must be present exactly once and be printable ASCII without spaces.
     fn required(&self, name: &str) -> Result<&str, Response> {
-        match self.head.text(name).map_err(|_| invalid_header(name))? {
+        match self.text(name)? {
             Some(value) if !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_graphic()) => {
                 Ok(value)
             }
@@ -148,7 +148,7 @@
         if self.frontend.tenants.is_empty() {
             return Ok(0);
         }
-        let name = self.head.first_value("Tenant");
+        let name = self.value("Tenant")?;
         let tenant = self.frontend.tenants.iter().position(|tenant| Some(tenant.as_bytes()) == name);
         tenant.ok_or_else(|| invalid_header("Tenant"))
     }
@@ -158,7 +158,7 @@
     }
 
     fn work_hint(&self) -> Result<Option<Micros>, Response> {
-        let Some(text) = self.first_text("Work-Hint")? else { return Ok(None) };
+        let Some(text) = self.text("Work-Hint")? else { return Ok(None) };
         text.parse::<Micros>().map(Some).map_err(|_| invalid_header("Work-Hint"))
     }
 
@@ -168,10 +168,14 @@
     }
 
     /// The headers that are forwarded to the worker, byte for byte.
-    fn forwarded(&self) -> Vec<(&'static str, Vec<u8>)> {
-        let names = ["Idempotency-Key", "Content-Type"];
-        let present = |name| self.head.first_value(name).map(|value| (name, value.to_vec()));
-        names.into_iter().filter_map(present).collect()
+    fn forwarded(&self) -> Result<Vec<(&'static str, Vec<u8>)>, Response> {
+        let mut forwarded = Vec::new();
+        for name in ["Idempotency-Key", "Content-Type"] {
+            if let Some(value) = self.value(name)? {
+                forwarded.push((name, value.to_vec()));
+            }
+        }
+        Ok(forwarded)
     }
 }
 
--- a/crates/node/tests/program/header_fields.rs
+++ b/crates/node/tests/program/header_fields.rs
@@ -175,3 +175,51 @@
     let mut client = send(&node, &[b"POST /api?\xff", &request["POST /api".len()..]].concat());
     assert!(read_until(&mut client, "\r\n\r\n").starts_with("HTTP/1.1 400 "));
 }
+
+/// Guards against the first of several fields deciding while a worker or a proxy reads another one. RFC 9110, section 5.3:
+/// a sender must not repeat a field that is no list.
+#[test]
+fn a_request_that_repeats_a_field_that_is_no_list_is_answered_400() {
+    let (worker, address) = open_worker();
+    let node = Node::start(&node_config(&address), "repeated");
+    let singletons = [
+        ("Request-Id", "q-2"),
+        ("Request-Class", "fee"),
+        ("Tenant", "perak"),
+        ("Request-Timeout", "10m"),
+        ("Work-Hint", "9"),
+        ("Client-Retry", "0"),
+        ("Affinity-Key", "b"),
+        ("Idempotency-Key", "k-2"),
+        ("Content-Type", "text/plain"),
+        ("Content-Length", "5"),
+    ];
+    for (name, second) in singletons {
+        let sound = FIELDS.iter().find(|(other, _)| *other == name).map_or("a", |(_, value)| value);
+        let mut client = send(&node, &request(&[(name, sound.as_bytes()), (name, second.as_bytes())]));
+        let response = read_until(&mut client, "\r\n\r\n");
+        assert!(response.starts_with("HTTP/1.1 400 "), "{name}: {response}");
+    }
+    worker.set_nonblocking(true).expect("the listener can be made non-blocking");
+    assert!(worker.accept().is_err(), "the node sent a request to the worker");
+}
+
+/// Guards against sound clients losing lists that they send in several fields of one name. RFC 9110, section 5.3: they
+/// are one list.
+#[test]
+fn a_list_may_come_in_several_fields_of_one_name() {
+    let (worker, address) = open_worker();
+    let node = Node::start(&node_config(&address), "lists");
+    let lists = [
+        ("Request-Info", "mem=1"),
+        ("Request-Info", "slots=1"),
+        ("Connection", "foo"),
+        ("Connection", "close"),
+    ];
+    let changed: Vec<(&str, &[u8])> = lists.iter().map(|(name, value)| (*name, value.as_bytes())).collect();
+    let mut client = send(&node, &request(&changed));
+    let (_, stream) = receive(&worker);
+    finish(stream, "q-1");
+    let response = read_until(&mut client, "never");
+    assert!(response.starts_with("HTTP/1.1 200 OK\r\nConnection: close\r\n"), "{response}");
+}
--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -138,19 +138,6 @@
         self.value(name)?.map(text).transpose()
     }
 
-    /// The value of the first header field with this name, byte for byte.
-    pub fn first_value(&self, name: &str) -> Option<&[u8]> {
-        self.values(name).next()
-    }
-
-    /// The value of the first header field with this name, as text; `None` without one.
-    ///
-    /// # Errors
-    /// `NotText` if the value can't be read as text.
-    pub fn first_text(&self, name: &str) -> Result<Option<&str>, InvalidField> {
-        self.first_value(name).map(text).transpose()
-    }
-
     /// The members of all comma-separated lists in header fields with this name.
     ///
     /// # Errors
