A chunk size without digits, or with control characters behind it, is malformed

Seen: a chunked body whose size line was empty, or an extension only, counted as complete, and what came after it as the next request: a part of a body was handed on as the whole. A line feed within an extension was read over, where another recipient ends the line and finds another body.

Cause: httparse::parse_chunk_size starts at a size of 0 and needs no digit, and takes any byte in an extension (observed: Complete((2, 0)) for an empty line). RFC 9112, 7.1: a size has one digit at least; 7.1.1: an extension is tokens and quoted strings, which have no control characters.

Change: BodyDecoder checks the first byte of the line and its control characters beside the parser.

Measured: a_chunk_size_without_digits_is_malformed and a_chunk_extension_with_a_control_character_is_malformed fail on the code before and pass now.

--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -90,17 +90,20 @@
     }
 
     fn decode_chunk_size(&mut self, input: &[u8]) -> Result<Option<usize>, WireError> {
+        // The parser takes a line without digits for a size of 0, which would end the body.
+        if !input.first().is_some_and(u8::is_ascii_hexdigit) {
+            return Err(WireError::Malformed);
+        }
         match httparse::parse_chunk_size(input) {
-            Ok(httparse::Status::Complete((length, 0))) => {
-                *self = BodyDecoder::Trailer;
-                Ok(Some(length))
-            }
-            Ok(httparse::Status::Complete((length, size))) => {
-                *self = BodyDecoder::Chunk(usize::try_from(size).map_err(|_| WireError::BodyTooLarge)?);
+            Ok(httparse::Status::Complete((length, size))) if is_line_of_text(&input[..length]) => {
+                *self = match usize::try_from(size).map_err(|_| WireError::BodyTooLarge)? {
+                    0 => BodyDecoder::Trailer,
+                    size => BodyDecoder::Chunk(size),
+                };
                 Ok(Some(length))
             }
             Ok(httparse::Status::Partial) if input.len() < MAX_CHUNK_LINE_BYTES => Ok(None),
-            Ok(httparse::Status::Partial) | Err(_) => Err(WireError::Malformed),
+            Ok(_) | Err(_) => Err(WireError::Malformed),
         }
     }
 
@@ -130,6 +133,13 @@
     }
 }
 
+/// Whether `line` holds no control characters but tabs before the CRLF that ends it. Another recipient might take a line
+/// feed in a chunk extension for the end of the line.
+fn is_line_of_text(line: &[u8]) -> bool {
+    let text = line.strip_suffix(b"\r\n").unwrap_or(line);
+    text.iter().all(|&byte| byte == b'\t' || !byte.is_ascii_control())
+}
+
 /// Appends up to `remaining` bytes of `input` to `content`, and returns how many.
 fn copy_content(input: &[u8], remaining: usize, content: &mut Vec<u8>) -> usize {
     let length = remaining.min(input.len());
--- a/crates/wire/tests/framing.rs
+++ b/crates/wire/tests/framing.rs
@@ -72,3 +72,36 @@
         assert_eq!(parsed.head.body_decoder().err(), Some(WireError::Malformed), "{lengths}");
     }
 }
+
+/// Decodes a chunked body, and returns its content and the number of bytes that it has in `wire`.
+fn decode_chunked(wire: &[u8]) -> Result<(Vec<u8>, usize), WireError> {
+    let (mut decoder, mut content) = (BodyDecoder::ChunkSize, Vec::new());
+    let length = decoder.decode(wire, &mut content)?;
+    if decoder == BodyDecoder::Done { Ok((content, length)) } else { Err(WireError::Closed) }
+}
+
+/// Guards against a size line without a size being read as the end of the body: what a client sent after it would be
+/// taken for the next request, and a part of a body for the whole. RFC 9112, section 7.1: a size has one digit at least.
+#[test]
+fn a_chunk_size_without_digits_is_malformed() {
+    for line in ["", " ", "\t", ";x", " ;x", "+0", "-0", "0x0", "\u{a0}0", "0\u{a0}", "\u{ff10}", "g"] {
+        let wire = format!("2\r\nab\r\n{line}\r\n\r\n");
+        assert_eq!(decode_chunked(wire.as_bytes()), Err(WireError::Malformed), "{line:?}");
+    }
+    for line in ["0", "000", "0 ", "0\t", "0;x", "0 ;x=\"y\""] {
+        let wire = format!("2\r\nab\r\n{line}\r\n\r\n");
+        assert_eq!(decode_chunked(wire.as_bytes()), Ok((b"ab".to_vec(), wire.len())), "{line:?}");
+    }
+}
+
+/// Guards against a line feed in a chunk extension: a recipient that ends the line there finds another body. RFC 9112,
+/// section 7.1.1: an extension has tokens and quoted strings, which hold no control characters.
+#[test]
+fn a_chunk_extension_with_a_control_character_is_malformed() {
+    for line in ["2;x\n", "2;x=\"\n\"", "2;\0", "2;x\u{7f}"] {
+        let wire = format!("{line}\r\nab\r\n0\r\n\r\n");
+        assert_eq!(decode_chunked(wire.as_bytes()), Err(WireError::Malformed), "{line:?}");
+    }
+    let wire = b"2;x=\"\t\xe9\"\r\nab\r\n0\r\n\r\n";
+    assert_eq!(decode_chunked(wire), Ok((b"ab".to_vec(), wire.len())));
+}
