A trailer line that is no header field is malformed; any bytes were skipped before

Seen: behind a chunked request without its last line end, the next request on the connection was skipped as its trailer up to the empty line: its client would never get an answer. The protocol: each request gets its final answer.

Cause: BodyDecoder skipped all bytes of a trailer section up to an empty line. RFC 9112, 7.1.2: it is field lines.

Change: a line that the header parser does not take is Malformed; the first request is answered 400 and the connection closed, so that the client can send the second one again.

Measured: a_trailer_line_that_is_no_field_is_malformed fails on the code before (25 bytes consumed) and passes now.

--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -118,18 +118,18 @@
         }
     }
 
-    /// Skips a line of the trailer section; an empty line ends the body.
+    /// Skips a field line of the trailer section; an empty line ends the body.
     fn decode_trailer_line(&mut self, input: &[u8]) -> Result<Option<usize>, WireError> {
-        match input.iter().position(|&byte| byte == b'\n') {
-            Some(end) => {
-                if matches!(&input[..end], [] | [b'\r']) {
-                    *self = BodyDecoder::Done;
-                }
-                Ok(Some(end + 1))
-            }
-            None if input.len() < MAX_CHUNK_LINE_BYTES => Ok(None),
-            None => Err(WireError::Malformed),
+        let Some(end) = input.iter().position(|&byte| byte == b'\n') else {
+            return if input.len() < MAX_CHUNK_LINE_BYTES { Ok(None) } else { Err(WireError::Malformed) };
+        };
+        let line = &input[..=end];
+        if matches!(line, b"\n" | b"\r\n") {
+            *self = BodyDecoder::Done;
+        } else if !is_field_line(line) {
+            return Err(WireError::Malformed);
         }
+        Ok(Some(line.len()))
     }
 }
 
@@ -140,6 +140,13 @@
     text.iter().all(|&byte| byte == b'\t' || !byte.is_ascii_control())
 }
 
+/// Whether `line`, with its line end, is a header field.
+fn is_field_line(line: &[u8]) -> bool {
+    let mut fields = [httparse::EMPTY_HEADER; 1];
+    let section = [line, b"\r\n"].concat();
+    matches!(httparse::parse_headers(&section, &mut fields), Ok(httparse::Status::Complete((_, [_]))))
+}
+
 /// Appends up to `remaining` bytes of `input` to `content`, and returns how many.
 fn copy_content(input: &[u8], remaining: usize, content: &mut Vec<u8>) -> usize {
     let length = remaining.min(input.len());
--- a/crates/wire/tests/framing.rs
+++ b/crates/wire/tests/framing.rs
@@ -105,3 +105,17 @@
     let wire = b"2;x=\"\t\xe9\"\r\nab\r\n0\r\n\r\n";
     assert_eq!(decode_chunked(wire), Ok((b"ab".to_vec(), wire.len())));
 }
+
+/// Guards against a request whose predecessor lacks its last line end being skipped as a trailer: its client would never
+/// be answered. RFC 9112, section 7.1.2: a trailer section is field lines.
+#[test]
+fn a_trailer_line_that_is_no_field_is_malformed() {
+    for line in ["POST /api HTTP/1.1", "X", " X: y", "X\u{a0}: y", ": y", "X: \0"] {
+        let wire = format!("0\r\n{line}\r\n\r\n");
+        assert_eq!(decode_chunked(wire.as_bytes()), Err(WireError::Malformed), "{line:?}");
+    }
+    for lines in ["X: y\r\n", "X:\r\nY:\t\u{a0}\r\n", "X: y\n"] {
+        let wire = format!("0\r\n{lines}\r\n");
+        assert_eq!(decode_chunked(wire.as_bytes()), Ok((Vec::new(), wire.len())), "{lines:?}");
+    }
+}
