A job line of bytes that are no JSON white space is malformed, not a sign of life

Seen: a line of a worker's response that holds form feeds only was read as blank, a sign of life; the attempt went on.

Cause: trim_ascii also removes form feeds. The white space of JSON is space, tab and line ends (RFC 8259, 2); the protocol has one JSON object a line.

Change: a line is blank if it holds nothing but JSON's white space. Tests for what answers bring in: bytes around a line, bytes that are not UTF-8, states and ids that differ in one byte, escaped ids, results with white space of Unicode at their ends.

Measured: a_job_line_that_cannot_be_read_is_malformed fails on the code before (Truncated instead of Malformed) and passes now; the other new tests pass on both.

--- a/crates/engine/src/response_reader.rs
+++ b/crates/engine/src/response_reader.rs
@@ -105,7 +105,7 @@
         match self.lines.next(connection).await {
             Err(error) => self.end_and_close(AttemptEnd::unreadable(error)),
             Ok(None) => self.end_and_close(AttemptEnd::Truncated),
-            Ok(Some(line)) if line.trim_ascii().is_empty() => ResponseStep::KeepAlive,
+            Ok(Some(line)) if is_blank(&line) => ResponseStep::KeepAlive,
             Ok(Some(line)) => self.read_job_line(&line, request_id),
         }
     }
@@ -172,3 +172,8 @@
         false
     }
 }
+
+/// Whether a line holds nothing but the white space that JSON has (RFC 8259, section 2).
+fn is_blank(line: &[u8]) -> bool {
+    line.iter().all(|byte| matches!(byte, b' ' | b'\t' | b'\r'))
+}
--- a/crates/engine/src/tests/response_fields.rs
+++ b/crates/engine/src/tests/response_fields.rs
@@ -1,4 +1,4 @@
-//! Header fields of a worker's response that can't be read.
+//! Header fields and job lines of a worker's response that can't be read.
 
 use super::fixtures::{attempt_spec, engine_with_config, next_end, payload, run_attempt};
 use crate::attempt_end::AttemptEnd;
@@ -110,3 +110,59 @@
         assert_eq!(end, AttemptEnd::Failed, "Not-Started: 1, then {second}");
     }
 }
+
+/// How an attempt ends whose worker answers with this line, and then ends the response.
+fn end_after_line(line: &[u8]) -> AttemptEnd {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", line.len() + 1);
+    attempts_with_response(&[head.as_bytes(), line, b"\n"].concat()).0
+}
+
+fn done_line(id: &str, state: &str, result: &str) -> String {
+    format!(r#"{{"id":"{id}","from":"s-1","state":"{state}","result":"{result}"}}"#)
+}
+
+/// Guards against a line that can't be read being cut or replaced until it can. The protocol: "one JSON object a line";
+/// RFC 8259, section 2: its white space is space, tab and line ends.
+#[test]
+fn a_job_line_that_cannot_be_read_is_malformed() {
+    let line = done_line("r1", "done", "fine");
+    for outside in [&b"\xc2\xa0"[..], b"\xe3\x80\x80", b"\xef\xbb\xbf", b"\xff", b"\x0c", b"\0"] {
+        for unreadable in
+            [[outside, line.as_bytes()].concat(), [line.as_bytes(), outside].concat(), outside.to_vec()]
+        {
+            assert_eq!(end_after_line(&unreadable), AttemptEnd::Malformed, "{}", unreadable.escape_ascii());
+        }
+    }
+    let not_utf8: Vec<u8> =
+        line.bytes().flat_map(|byte| if byte == b'f' { vec![b'f', 0xff] } else { vec![byte] }).collect();
+    assert_eq!(end_after_line(&not_utf8), AttemptEnd::Malformed);
+    for state in ["done\u{a0}", " done", "Done", "done\\u0000"] {
+        let end = end_after_line(done_line("r1", state, "fine").as_bytes());
+        assert_eq!(end, AttemptEnd::Malformed, "{state:?}");
+    }
+    let repeated = r#"{"id":"r1","state":"returned","state":"done","result":"fine"}"#;
+    assert_eq!(end_after_line(repeated.as_bytes()), AttemptEnd::Malformed);
+}
+
+/// Guards against the answer to another request being taken for this one's, because their ids look alike.
+#[test]
+fn a_job_line_whose_id_differs_in_any_byte_belongs_to_another_request() {
+    for id in ["r1\u{a0}", "\u{3000}r1", "r1 ", "R1", "r1\\u0000", "r1\\u00a0", "r\u{ff11}"] {
+        let end = end_after_line(done_line(id, "done", "fine").as_bytes());
+        assert_eq!(end, AttemptEnd::WrongRequestId, "{id:?}");
+    }
+}
+
+/// Guards against the loss of white space that JSON allows, and against a result that is changed: "the `result` that an
+/// executor gave for this request is the body".
+#[test]
+fn white_space_of_json_is_allowed_and_a_result_is_kept_byte_for_byte() {
+    for line in
+        [done_line("r1", "done", "fine"), format!("\t {}\r", done_line("\\u0072\\u0031", "done", "fine"))]
+    {
+        assert_eq!(end_after_line(line.as_bytes()), AttemptEnd::Completed("fine".into()), "{line:?}");
+    }
+    let result = "\u{a0} caf\u{e9}\u{2028}\u{fffd}\u{3000} ";
+    let end = end_after_line(done_line("r1", "done", result).as_bytes());
+    assert_eq!(end, AttemptEnd::Completed(result.into()));
+}
