A worker list with bytes behind it is refused by DiscoveryList::read

Seen by a test: of a list with a byte behind it (no UTF-8, or any other) read returned the list. Not seen in the node: its splitter hands on one object at a time and refuses bytes outside of it.

Cause: a list that serde_json refuses is read a second time to name the key at fault, by a deserializer that stops at the end of the object; its success was taken for that of the first.

Change: the second reading only finds the error. Tests for what lists bring in: addresses, zones, kinds and states with white space of Unicode, repeated keys, bytes that are not UTF-8, and names that differ in one byte, which are different workers.

Measured: a_list_that_is_not_utf8_is_refused fails on the code before (0xff behind the list) and passes now; the other two new tests pass on both.

--- a/crates/config/src/hosts.rs
+++ b/crates/config/src/hosts.rs
@@ -83,10 +83,13 @@
     /// # Errors
     /// The text is not JSON of this form. The error names the key at fault.
     pub fn read(text: &[u8]) -> Result<DiscoveryList, ConfigError> {
-        // Tracking the path of each key triples the cost, so only a list that was found invalid is read again
-        // that way.
-        serde_json::from_slice(text)
-            .or_else(|_| deserialize("", &mut serde_json::Deserializer::from_slice(text)))
+        serde_json::from_slice(text).map_err(|error| {
+            // Tracking the path of each key triples the cost, so only a list that was found invalid is read again
+            // that way. It finds no key for an error behind the list.
+            let read_again =
+                deserialize::<DiscoveryList>("", &mut serde_json::Deserializer::from_slice(text));
+            read_again.err().unwrap_or_else(|| ConfigError::new("", error))
+        })
     }
 
     /// Checks that each worker has an address, and a zone and kind that are in the settings. See
