An operators' command with other bytes than spaces and tabs around it is unknown

Seen: a form feed, or carriage returns, before or behind "drain" were cut and the node drained; in the answer to an unknown line, bytes that are not UTF-8 were replaced, so that it did not quote what had been sent.

Change: spaces and tabs around a command, and the carriage return of the line end, are removed, nothing else; the quote is ASCII with escapes.

Measured: a_line_with_other_bytes_around_a_command_is_no_command fails on the code before and passes now.

--- a/crates/admin/src/command.rs
+++ b/crates/admin/src/command.rs
@@ -22,7 +22,7 @@
 pub enum CommandError {
     /// The line is longer than [`MAX_LINE_BYTES`].
     TooLong,
-    /// The line, which is quoted here, is not a known command.
+    /// The line, which is quoted here in ASCII with escapes, is not a known command.
     Unknown(String),
     /// The line was incomplete at the read timeout.
     ReadTimeout,
@@ -33,7 +33,10 @@
         match self {
             CommandError::TooLong => write!(formatter, "a call holds at most {MAX_LINE_BYTES} bytes"),
             CommandError::Unknown(line) => {
-                write!(formatter, "unknown call {line:?}; there are ready, show-stat, drain, resume, members")
+                write!(
+                    formatter,
+                    "unknown call \"{line}\"; there are ready, show-stat, drain, resume, members"
+                )
             }
             CommandError::ReadTimeout => formatter.write_str("the call did not come whole in time"),
         }
@@ -71,13 +74,22 @@
     }
 
     fn parse(&self) -> Result<AdminCommand, CommandError> {
-        match self.line.trim_ascii() {
+        match trim_white_space(&self.line) {
             b"ready" => Ok(AdminCommand::Lifecycle(Command::Ready)),
             b"drain" => Ok(AdminCommand::Lifecycle(Command::Drain)),
             b"resume" => Ok(AdminCommand::Lifecycle(Command::Resume)),
             b"show-stat" => Ok(AdminCommand::ShowStat),
             b"members" => Ok(AdminCommand::Members),
-            other => Err(CommandError::Unknown(String::from_utf8_lossy(other).into_owned())),
+            other => Err(CommandError::Unknown(other.escape_ascii().to_string())),
         }
     }
 }
+
+/// `line` without the spaces and tabs around it, and without the carriage return of its line end.
+fn trim_white_space(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let is_text = |byte: &u8| !matches!(byte, b' ' | b'\t');
+    let begin = line.iter().position(is_text).unwrap_or(line.len());
+    let end = line.iter().rposition(is_text).map_or(begin, |last| last + 1);
+    &line[begin..end]
+}
--- a/crates/admin/tests/commands.rs
+++ b/crates/admin/tests/commands.rs
@@ -60,3 +60,17 @@
     assert!(control_bytes.chars().all(|character| !character.is_control()), "{control_bytes}");
     assert_eq!(feed(b"", 1), None, "a client that disconnects without a command gets no reply");
 }
+
+/// Guards against a line that can't be read being cut until it drains the node, and against bytes being replaced in the
+/// answer. The operators' page: "Each connection carries one line", a call by its name.
+#[test]
+fn a_line_with_other_bytes_around_a_command_is_no_command() {
+    for outside in [&b"\xc2\xa0"[..], b"\x0c", b"\x0b", b"\0", b"\xff", b"\r"] {
+        let spoiled = [[outside, b"drain"].concat(), [b"drain", outside].concat()];
+        for line in spoiled {
+            let command = feed(&[b"\t", &line[..], b" \r\n"].concat(), 100);
+            let quoted = line.escape_ascii().to_string();
+            assert_eq!(command, Some(Err(CommandError::Unknown(quoted))));
+        }
+    }
+}
