A variable or path that is not UTF-8 ends the start; it counted as not set before

Seen: with RELAY_NAME, RELAY_LISTEN or RELAY_DISCOVERY that is not UTF-8 the node started with the value of its file; a path on the command line with such bytes was changed (U+FFFD) and named another file.

Cause: std::env::var(..).ok() and to_string_lossy in Environment.

Change: Environment::new refuses such a value and names the variable; the program exits with 2.

Measured: a_variable_or_path_that_is_not_utf8_is_refused passes. On the code before, run by hand only: `RELAY_NAME=$'n\xff' sorrelhaven check deploy/example.json` printed `n0 listens on ...` and exited with 0.

--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line. The doc comments on its types and fields are the text of `--help`.
 
-use crate::environment::Environment;
+use crate::environment::{Environment, NotUtf8};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
 
@@ -65,7 +65,10 @@
 
     /// The environment variables, with `RELAY_CONFIG` and `SORRELHAVEN_OPERATOR` overridden by the paths on
     /// the command line.
-    pub fn environment(&self) -> Environment {
+    ///
+    /// # Errors
+    /// See [`Environment::new`].
+    pub fn environment(&self) -> Result<Environment, NotUtf8> {
         let platform_file = match &self.command {
             Some(Command::Check { config }) => config.as_ref(),
             Some(Command::Run | Command::Schema) | None => None,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -29,7 +29,13 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let command = cli.command();
-    let environment = cli.environment();
+    let environment = match cli.environment() {
+        Ok(environment) => environment,
+        Err(error) => {
+            eprintln!("sorrelhaven: {error}");
+            return ExitCode::from(EXIT_INVALID);
+        }
+    };
     // Comes first: a descriptor that this process opens could get the number that `RELAY_FD` names.
     let inherited = match command {
         Command::Run => ClientListener::inherit(&environment),
--- a/crates/node/tests/command.rs
+++ b/crates/node/tests/command.rs
@@ -1,6 +1,7 @@
 //! The command line: the output and the exit status of each command.
 
 use std::io::{BufRead, BufReader};
+use std::os::unix::ffi::OsStrExt;
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
 
@@ -119,3 +120,22 @@
     );
     assert_eq!(lines.last().expect("the log has lines")["counters"]["admitted"], 0);
 }
+
+/// Guards against a value that is not UTF-8 counting as not set, or being changed until it names another file: the node
+/// would start with another name, address or configuration than its platform gave it.
+#[test]
+fn a_variable_or_path_that_is_not_utf8_is_refused() {
+    let value = std::ffi::OsStr::from_bytes(b"n\xff");
+    for variable in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG", "SORRELHAVEN_OPERATOR"]
+    {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sorrelhaven"));
+        let output = command.arg("check").arg(deploy_file("example.json")).env(variable, value).output();
+        let output = output.expect("the program runs");
+        assert_eq!(output.status.code(), Some(2), "{variable}: {output:?}");
+        assert_eq!(to_text(&output.stderr), format!("sorrelhaven: {variable}: the value is not UTF-8\n"));
+    }
+    let output = Command::new(env!("CARGO_BIN_EXE_sorrelhaven")).arg("check").arg(value).output();
+    let output = output.expect("the program runs");
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    assert_eq!(to_text(&output.stderr), "sorrelhaven: RELAY_CONFIG: the value is not UTF-8\n");
+}
