Simulator: white space that JSON has not is an error behind a batch, not cut

Cause: trim_end of the line that was read, which knows all white space of Unicode; the page has one JSON value per line.

Change: the line goes to the JSON parser as it came, which allows spaces, tabs and line ends.

Measured: a_batch_with_white_space_outside_json_behind_it_is_an_error fails on the code before (a no-break space) and passes now. Replies to the other batches of the test are the same.

--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -26,8 +26,7 @@
         if length == 0 {
             return Ok(());
         }
-        let reply =
-            host.handle_batch(text.trim_end()).map_err(|source| SimulatorError::Batch { line, source })?;
+        let reply = host.handle_batch(&text).map_err(|source| SimulatorError::Batch { line, source })?;
         write_reply(&mut output, &reply).map_err(SimulatorError::Write)?;
     }
 }
--- a/crates/simulator/tests/binary.rs
+++ b/crates/simulator/tests/binary.rs
@@ -94,3 +94,14 @@
             .contains("r-one")
     );
 }
+
+/// Guards against a batch that can't be read being cut until it can. The simulator's page: one JSON value per line.
+#[test]
+fn a_batch_with_white_space_outside_json_behind_it_is_an_error() {
+    for behind in ["\u{a0}", "\u{2028}", "\u{c}"] {
+        let output = run(&format!("{{\"simTime\":1,\"dispatchers\":[]}}{behind}\n"));
+        assert!(!output.status.success(), "{behind:?}");
+    }
+    let output = run("{\"simTime\":1,\"dispatchers\":[]} \t\r\n");
+    assert!(output.status.success(), "{output:?}");
+}
