Tests: lists with framing that can't be read, and soak clients whose ids can't be read

The clients of the soak send, after one request in 16, one more whose id ends with white space of Unicode. It must not be served, and a worker that runs it under any id runs one without a request.

--- a/crates/engine/src/tests/discovery_watch.rs
+++ b/crates/engine/src/tests/discovery_watch.rs
@@ -82,6 +82,31 @@
     assert_eq!(engine.counters.worker_lists.get(), 2);
 }
 
+/// Guards against a response whose framing can't be read being taken for a list: without a readable end, a part of it
+/// would count as the whole, and the workers that it leaves out as gone.
+#[test]
+fn a_list_whose_framing_cannot_be_read_is_not_applied() {
+    let engine = watch(|agent| {
+        let complete = list(7, true, &host("s-2", 2));
+        let length = complete.len();
+        for framing in [
+            format!("Content-Length: {length}\u{a0}\r\n\r\n{complete}"),
+            format!("Content-Length: {length}\r\nContent-Length: {}\r\n\r\n{complete}", length + 1),
+            format!("Transfer-Encoding: chunked\u{3000}\r\n\r\n{length:x}\r\n{complete}\r\n0\r\n\r\n"),
+            format!("Transfer-Encoding: chunked\r\n\r\n{length:x}\u{a0}\r\n{complete}\r\n0\r\n\r\n"),
+        ] {
+            let mut stream = agent.accept().expect("the node connects").0;
+            assert!(read_request_target(&mut stream).starts_with("/registry/instances"));
+            stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}").as_bytes()).expect("the node reads");
+        }
+        // The node asks again, so it has read the last response.
+        let mut stream = agent.accept().expect("the node connects").0;
+        assert_eq!(read_request_target(&mut stream), "/registry/instances");
+    });
+    assert_eq!(engine.upstreams.registry.address(WorkerId(1)), None);
+    assert_eq!(engine.counters.worker_lists.get(), 0);
+}
+
 /// The number of workers in a long list.
 const LONG_LIST_WORKERS: u16 = 1025;
 
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -20,6 +20,10 @@
 const TIMEOUTS_MS: [u64; 4] = [40, 300, 1_000, 2_500];
 const MALFORMED_REQUESTS: [&[u8]; 3] = [b"POST /api HTTP/1.1\r\nHost:", b"\0\x01\x02 nonsense\r\n\r\n", b""];
 const WORK_HINT_MICROS: u64 = 5_000;
+/// One in this many requests of a client is followed by one whose id can't be read.
+const UNREADABLE_INTERVAL: u64 = 16;
+/// What makes an id unreadable: white space of Unicode, which HTTP has not.
+const UNREADABLE_SUFFIXES: [&str; 4] = ["\u{a0}", "\u{85}", "\u{2028}", "\u{3000}"];
 
 /// The records that all clients of a soak share.
 pub struct ClientRecords {
@@ -70,6 +74,9 @@
                 1 => self.send_malformed(),
                 _ => idle_connection = self.send(&request, idle_connection.take()),
             }
+            if request_number % UNREADABLE_INTERVAL == 0 {
+                self.send_unreadable(request_number);
+            }
         }
     }
 
@@ -190,6 +197,21 @@
         }
     }
 
+    /// Sends a request whose id can't be read. It must not be served, and no worker may run it: a worker that gets
+    /// the id in any form runs an id that is not recorded.
+    fn send_unreadable(&self, request_number: u64) {
+        let suffix =
+            UNREADABLE_SUFFIXES[(request_number / UNREADABLE_INTERVAL) as usize % UNREADABLE_SUFFIXES.len()];
+        let id = format!("u-{}-{request_number}{suffix}", self.number);
+        let request = TestRequest::new(&id, CLASSES[0], b"body".to_vec());
+        let Some(OpenConnection { mut stream, .. }) = self.connect() else { return };
+        if let Ok(response) = request.send_on(&mut stream)
+            && response.status == 200
+        {
+            self.records.record_lost(format!("{id:?} can't be read and was served"));
+        }
+    }
+
     /// Sends an incomplete request, bytes that are not HTTP, or nothing, and disconnects.
     fn send_malformed(&mut self) {
         let Ok(mut stream) = TcpStream::connect(self.node.current().address) else { return };
