Connections are closed after rejections and after responses that name no request

Cause: a 503 with Not-Started names no request. A second copy of it, some milliseconds late, came after the next request had been written on the kept connection, and was taken for its answer: a proof that it had never run. A job line "returned" has the same fault for a later attempt of its request. Observed with the order forced on sockets: the second attempt ends Rejected, the third WrongRequestId. A copy of a result is no proof (WrongRequestId), before as after.

Change: after any response but a 200 whose last line named the request and did not reject it, the connection is closed, after a probe too. So what came on a connection of the pool named another request, and no copy of it is a proof.

Three tests said that the connection is used again after a rejection (the model of pooled_connection, an_id_that_has_not_run_is_served_when_it_comes_again, a_request_whose_client_disconnects_between_attempts_is_not_sent_again); they now require that it is not, and that the next request comes on a new one. The check of Connection in response_fields moved to a response after which the connection is kept.

--- a/crates/engine/src/connection_pool.rs
+++ b/crates/engine/src/connection_pool.rs
@@ -51,7 +51,9 @@
     valid_until: Instant,
 }
 
-/// Keeps idle connections to workers for reuse.
+/// Keeps idle connections to workers for reuse: those on which each request got one whole response, which named it and did
+/// not reject it. So a response that names no request, on a connection of the pool or a new one, answers the request that
+/// was written last, and no late copy of an earlier one.
 pub struct ConnectionPool {
     /// The budget of descriptors that upstream connections, downstream connections and body files share.
     pub descriptors: Rc<DescriptorBudget>,
@@ -144,7 +146,8 @@
         Ok(PooledConnection { connection, idle_time: None, address, _permit: permit })
     }
 
-    /// Returns a connection to the pool after a complete exchange. Closes it if it cannot be reused.
+    /// Returns a connection to the pool, on which nothing was written or the last response was whole, named its request and
+    /// did not reject it. Closes it if it cannot be reused.
     pub fn check_in(&self, worker: WorkerId, mut upstream: PooledConnection) {
         upstream.connection.release_memory();
         if upstream.connection.has_unsolicited_input() {
--- a/crates/engine/src/probe.rs
+++ b/crates/engine/src/probe.rs
@@ -23,7 +23,8 @@
     dispatcher_loop.dispatch(Event::ProbeEnded { worker, outcome: end.outcome(), load_report: Vec::new() });
 }
 
-/// Sends a health request on a pooled or new connection; succeeds if the response has status 200.
+/// Sends a health request on a pooled or new connection; succeeds if the response has status 200. The connection is not
+/// used again, since the response names no request: a second copy would be taken for the answer to the next one.
 async fn probe(upstreams: &Upstreams, worker: WorkerId) -> Result<(), AttemptEnd> {
     let mut upstream = upstreams.connection(worker).await?;
     let request = format!("GET /health/live HTTP/1.1\r\nHost: {}\r\n\r\n", upstream.address);
@@ -33,11 +34,7 @@
     let body = head.body_decoder().map_err(AttemptEnd::unreadable)?;
     connection.discard_body(body).await.map_err(AttemptEnd::unreadable)?;
     match head.start_line {
-        StartLine::Response { status: 200 } => {}
-        _ => return Err(AttemptEnd::Failed),
+        StartLine::Response { status: 200 } => Ok(()),
+        _ => Err(AttemptEnd::Failed),
     }
-    if head.keeps_alive().unwrap_or(false) {
-        upstreams.pool.check_in(worker, upstream);
-    }
-    Ok(())
 }
--- a/crates/engine/src/response_reader.rs
+++ b/crates/engine/src/response_reader.rs
@@ -93,14 +93,15 @@
         self.is_rejection
     }
 
-    /// Reads the next line about the job `request_id`, or evaluates the status if it is not 200.
+    /// Reads the next line about the job `request_id`, or evaluates the status if it is not 200: such a response names
+    /// no request.
     pub async fn next_step(&mut self, connection: &mut Connection, request_id: &str) -> ResponseStep {
         match self.status {
             200 => {}
-            _ if self.is_rejection => return ResponseStep::Ended(AttemptEnd::Rejected),
+            _ if self.is_rejection => return self.end_and_close(AttemptEnd::Rejected),
             // The request itself is invalid: every other worker would respond the same.
-            400 | 404 => return ResponseStep::Ended(AttemptEnd::InvalidRequest),
-            _ => return ResponseStep::Ended(AttemptEnd::Failed),
+            400 | 404 => return self.end_and_close(AttemptEnd::InvalidRequest),
+            _ => return self.end_and_close(AttemptEnd::Failed),
         }
         match self.lines.next(connection).await {
             Err(error) => self.end_and_close(AttemptEnd::unreadable(error)),
@@ -126,13 +127,14 @@
             }
             JobState::Done { result } => ResponseStep::Ended(AttemptEnd::Completed(result)),
             JobState::Failed => ResponseStep::Ended(AttemptEnd::Failed),
-            JobState::Rejected => ResponseStep::Ended(AttemptEnd::Rejected),
+            JobState::Rejected => self.end_and_close(AttemptEnd::Rejected),
             JobState::Killed => ResponseStep::Ended(AttemptEnd::Killed),
         }
     }
 
-    /// Ends the attempt after a response that broke off or violates the protocol. Where the next response
-    /// would begin on the connection is unknown, so the connection is not reused.
+    /// Ends the attempt and the use of its connection. Where the next response would begin is unknown after one that
+    /// broke off or violates the protocol. A second copy of one that names no request would be taken for the answer to
+    /// the next request, and a second copy of a rejection for the answer to the next attempt of the same request.
     fn end_and_close(&mut self, end: AttemptEnd) -> ResponseStep {
         self.keeps_alive = false;
         ResponseStep::Ended(end)
--- a/crates/engine/src/tests/mod.rs
+++ b/crates/engine/src/tests/mod.rs
@@ -13,6 +13,7 @@
 mod pooled_connection;
 mod request_sent;
 mod request_task;
+mod response_copies;
 mod response_fields;
 mod start_times;
 mod tasks;
--- a/crates/engine/src/tests/pooled_connection.rs
+++ b/crates/engine/src/tests/pooled_connection.rs
@@ -77,16 +77,15 @@
         .prop_map(|(status, steps, hangs, piece_bytes)| WorkerScript { status, steps, hangs, piece_bytes })
 }
 
-/// How the attempt must end, and whether its connection can be reused.
+/// How the attempt must end, and whether its connection can be reused: not after a response that names no request, nor
+/// after a rejection, of which a second copy could be taken for the answer to a later attempt.
 pub fn expected_end(script: &WorkerScript) -> (AttemptEnd, bool) {
     match script.status {
         "200 OK" => {}
         "nonsense" => return (AttemptEnd::Malformed, false),
-        status if status.contains("Not-Started") => {
-            return (AttemptEnd::Rejected, response_ends(script, &script.steps));
-        }
-        "404 What" => return (AttemptEnd::InvalidRequest, response_ends(script, &script.steps)),
-        _ => return (AttemptEnd::Failed, response_ends(script, &script.steps)),
+        status if status.contains("Not-Started") => return (AttemptEnd::Rejected, false),
+        "404 What" => return (AttemptEnd::InvalidRequest, false),
+        _ => return (AttemptEnd::Failed, false),
     }
     for (i, step) in script.steps.iter().enumerate() {
         let end = match step {
@@ -97,7 +96,7 @@
                 Some(0..=2) => continue,
                 Some(3) => AttemptEnd::Completed("ok\n".into()),
                 Some(4) => AttemptEnd::Failed,
-                Some(5) => AttemptEnd::Rejected,
+                Some(5) => return (AttemptEnd::Rejected, false),
                 Some(6) => AttemptEnd::Killed,
                 Some(7) => return (AttemptEnd::WrongRequestId, false),
                 _ => return (AttemptEnd::Malformed, false),
--- a/crates/engine/src/tests/response_fields.rs
+++ b/crates/engine/src/tests/response_fields.rs
@@ -66,7 +66,7 @@
 #[test]
 fn a_not_started_that_cannot_be_read_is_no_proof() {
     let sound = attempts_with_response(&response_with("503 Full", "Not-Started", b"\t1 "));
-    assert_eq!(sound, (AttemptEnd::Rejected, 1, 0));
+    assert_eq!(sound, (AttemptEnd::Rejected, 2, 0));
     for value in spoiled(b"1") {
         let (end, ..) = attempts_with_response(&response_with("503 Full", "Not-Started", &value));
         assert_eq!(end, AttemptEnd::Failed, "{}", value.escape_ascii());
@@ -76,9 +76,16 @@
 /// Guards against a connection that the worker may have announced to close being used again.
 #[test]
 fn a_connection_option_that_cannot_be_read_ends_the_use_of_the_connection() {
+    let line = done_line("r1", "done", "fine") + "\n";
+    let response = |connection: &[u8]| {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: ", line.len());
+        [head.as_bytes(), connection, b"\r\n\r\n", line.as_bytes()].concat()
+    };
+    let completed = || AttemptEnd::Completed("fine".into());
+    assert_eq!(attempts_with_response(&response(b"keep-alive")), (completed(), 1, 0));
     for value in spoiled(b"close") {
-        let ended = attempts_with_response(&response_with("500 Oops", "Connection", &value));
-        assert_eq!(ended, (AttemptEnd::Failed, 2, 0), "{}", value.escape_ascii());
+        let ended = attempts_with_response(&response(&value));
+        assert_eq!(ended, (completed(), 2, 0), "{}", value.escape_ascii());
     }
 }
 
--- a/crates/node/tests/races/client_disconnect.rs
+++ b/crates/node/tests/races/client_disconnect.rs
@@ -105,7 +105,8 @@
         disconnect(&mut node, client, kind, 0);
         // A request of the other class is sent at once, since the worker has not rejected that class.
         let mut client = send_request(&node, "stays", "safe", 30_000);
-        let request = next_request(&mut connection).expect("the pooled connection carries the next request");
+        assert_eq!(next_request(&mut connection), None, "the connection carried a request after a rejection");
+        let (request, mut connection) = first_request(&worker);
         assert_eq!(request_id(&request), "stays", "{request}");
         respond(&mut connection, &done_response("stays"));
         assert_eq!(read_response(&mut client).status, 200);
--- a/crates/node/tests/races/repeated_ids.rs
+++ b/crates/node/tests/races/repeated_ids.rs
@@ -60,7 +60,13 @@
     wait_for_counter(&mut node, "worker_rejected", 1);
     disconnect(&mut node, client, Disconnect::Close, 0);
     wait_for_counter(&mut node, "client_gone", 1);
-    for (id, class) in [("rejected", "once"), ("safe", "safe"), ("safe", "safe")] {
+    assert_eq!(next_request(&mut connection), None, "the connection carried a request after a rejection");
+    let mut client = send_request(&node, "rejected", "once", 5_000);
+    let (request, mut connection) = first_request(&worker);
+    assert_eq!(request_id(&request), "rejected", "{request}");
+    respond(&mut connection, &done_response("rejected"));
+    assert_eq!(read_response(&mut client).status, 200);
+    for (id, class) in [("safe", "safe"), ("safe", "safe")] {
         let mut client = send_request(&node, id, class, 5_000);
         let request = next_request(&mut connection).expect("the pooled connection carries the next request");
         assert_eq!(request_id(&request), id, "{request}");
--- a/crates/test-support/src/fake_workers/behavior.rs
+++ b/crates/test-support/src/fake_workers/behavior.rs
@@ -21,6 +21,13 @@
     Failed,
     /// Reads the body and responds 503 with `Not-Started: 1`, without running the job.
     Rejected,
+    /// As `Rejected`, and sends the response a second time after this many milliseconds, while the connection is
+    /// served on.
+    RejectedTwice(u64),
+    /// As `RejectedTwice`, with the rejection in a job line that names the request.
+    ReturnedTwice(u64),
+    /// Runs the job, but sends nothing for this many milliseconds, as a job does that waits for a slot.
+    DoneAfterWait(u64),
     /// Runs the job and reports that it was killed.
     Killed,
     /// Responds 503 with `Not-Started: 1` after the head, and closes the connection without reading the body.
@@ -50,6 +57,12 @@
 impl WorkerBehavior {
     /// Whether a worker that has received the whole body runs the job.
     pub(super) fn runs_job(self) -> bool {
-        !matches!(self, WorkerBehavior::Rejected | WorkerBehavior::InvalidRequest)
+        !matches!(
+            self,
+            WorkerBehavior::Rejected
+                | WorkerBehavior::RejectedTwice(_)
+                | WorkerBehavior::ReturnedTwice(_)
+                | WorkerBehavior::InvalidRequest
+        )
     }
 }
--- a/crates/test-support/src/fake_workers/connection.rs
+++ b/crates/test-support/src/fake_workers/connection.rs
@@ -115,6 +115,17 @@
         let mut stream = &self.stream;
         match behavior {
             WorkerBehavior::Rejected => return stream.write_all(NOT_STARTED_RESPONSE),
+            WorkerBehavior::RejectedTwice(milliseconds) => {
+                return self.send_twice(NOT_STARTED_RESPONSE.to_vec(), milliseconds);
+            }
+            WorkerBehavior::ReturnedTwice(milliseconds) => {
+                let line = format!("{{\"id\":\"{id}\",\"from\":\"s\",\"state\":\"returned\"}}\n");
+                let response = format!("{CHUNKED_RESPONSE_HEAD}{}0\r\n\r\n", chunk(&line));
+                return self.send_twice(response.into_bytes(), milliseconds);
+            }
+            WorkerBehavior::DoneAfterWait(milliseconds) => {
+                thread::sleep(Duration::from_millis(milliseconds));
+            }
             WorkerBehavior::InvalidRequest => return stream.write_all(BAD_REQUEST_RESPONSE),
             _ => {}
         }
@@ -155,6 +166,17 @@
         stream.write_all(b"0\r\n\r\n")
     }
 
+    /// Sends a response, and once more after this many milliseconds from another thread.
+    fn send_twice(&self, response: Vec<u8>, milliseconds: u64) -> io::Result<()> {
+        let mut stream = self.stream.try_clone()?;
+        stream.write_all(&response)?;
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(milliseconds));
+            let _ = stream.write_all(&response);
+        });
+        Ok(())
+    }
+
     fn send_result(&self, id: &str, body: &[u8]) -> io::Result<()> {
         let result = format!("\"state\":\"done\",\"result\":\"{} {:x}\"", body.len(), checksum(body));
         self.send_status(id, &result)
