--- a/crates/engine/src/tests/response_copies.rs
+++ b/crates/engine/src/tests/response_copies.rs
@@ -72,7 +72,7 @@
     }
 }
 
-/// Serves connections until `ids` requests have come: answers the first with `response`, and runs all others. On a
+/// Serves connections until this many requests have come: answers the first with `response`, and runs all others. On a
 /// connection that has carried the first request, a copy of its response comes with the next one.
 fn serve(listener: &TcpListener, requests: usize, response: &str, order: CopyOrder) {
     let mut served = 0;
