--- a/crates/node/benches/refusals.rs
+++ b/crates/node/benches/refusals.rs
@@ -5,7 +5,8 @@
 //!     cargo bench -p sorrelhaven --bench refusals
 
 use sorrelhaven_test_support::{
-    FakeWorkers, Program, ScratchDir, TestRequest, TestResponse, WorkerBehavior, sample_bytes, workers_config,
+    FakeWorkers, Program, ScratchDir, TestRequest, TestResponse, WorkerBehavior, cpu_time, sample_bytes,
+    workers_config,
 };
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -44,15 +45,6 @@
     Case { name: "large, 1 in 100 refused", workers: 3_000, refused_of_256: 3 },
 ];
 
-/// The processor time that a process has used so far, in steps of one clock tick (10 ms).
-fn process_cpu_time(process_id: u32) -> Duration {
-    let stat = std::fs::read_to_string(format!("/proc/{process_id}/stat")).expect("the process runs");
-    let fields = stat.rsplit(')').next().expect("the stat line has the program name in parentheses");
-    let fields: Vec<&str> = fields.split_whitespace().collect();
-    let ticks = |index: usize| fields[index].parse::<u64>().expect("the stat field is a number");
-    Duration::from_millis(10 * (ticks(11) + ticks(12)))
-}
-
 fn descriptor_count(process_id: u32) -> usize {
     std::fs::read_dir(format!("/proc/{process_id}/fd")).map_or(0, Iterator::count)
 }
@@ -84,7 +76,7 @@
     command.env("RELAY_OPS", "127.0.0.1:0").env("RUST_LOG", "info,module=warn");
     let mut node = Program::start(command, &config, None);
     let statuses: Mutex<BTreeMap<u16, u32>> = Mutex::default();
-    let cpu_time_before = process_cpu_time(node.child.id());
+    let used_before = cpu_time(node.child.id());
     let stop = AtomicBool::new(false);
     let mut most_descriptors = 0;
     thread::scope(|scope| {
@@ -105,12 +97,12 @@
         assert!(ended.iter().all(Result::is_ok), "a client has panicked");
         sampler.join().expect("the sampler does not panic");
     });
-    let cpu_time = process_cpu_time(node.child.id()) - cpu_time_before;
+    let used = cpu_time(node.child.id()) - used_before;
     let connects = node.counter("upstream_connections") as f64 / DURATION.as_secs_f64();
     let statuses = statuses.into_inner().expect("no thread has panicked");
     let count = |status: u16| statuses.get(&status).copied().unwrap_or(0);
     let requests: u32 = statuses.values().sum();
-    let cpu_us = cpu_time.as_secs_f64() * 1e6 / f64::from(requests);
+    let cpu_us = used.as_secs_f64() * 1e6 / f64::from(requests);
     let [served, rejected, failed] = [200, 503, 502].map(count);
     println!(
         "{:24}  {requests:8}  {served:5}  {rejected:5}  {failed:5}  {connects:10.1}  {cpu_us:14.1}  {most_descriptors:11}",
--- a/crates/node/benches/scrape.rs
+++ b/crates/node/benches/scrape.rs
@@ -5,7 +5,7 @@
 //!     cargo bench -p sorrelhaven --bench scrape
 
 use sorrelhaven_test_support::{
-    FakeWorkers, Program, ScratchDir, TestRequest, WorkerBehavior, workers_config,
+    FakeWorkers, Program, ScratchDir, TestRequest, WorkerBehavior, cpu_time, workers_config,
 };
 use std::net::TcpStream;
 use std::process::Command;
@@ -60,15 +60,6 @@
     measurements: Mutex<[PhaseMeasurements; 2]>,
 }
 
-/// The processor time that a process has used so far, in steps of one clock tick (10 ms).
-fn process_cpu_time(process_id: u32) -> Duration {
-    let stat = std::fs::read_to_string(format!("/proc/{process_id}/stat")).expect("the process runs");
-    let fields = stat.rsplit(')').next().expect("the stat line has the program name in parentheses");
-    let fields: Vec<&str> = fields.split_whitespace().collect();
-    let ticks = |index: usize| fields[index].parse::<u64>().expect("the stat field is a number");
-    Duration::from_millis(10 * (ticks(11) + ticks(12)))
-}
-
 fn main() {
     println!(
         "  workers  scrapes  requests/s  p50 ms  p99 ms  CPU us/request  show-stat p50 ms  max ms  bytes"
@@ -135,7 +126,7 @@
 
     /// Runs one phase of this kind and records its measurements.
     fn run_phase(&self, kind: usize, scrapes: &mut Vec<Scrape>) {
-        let cpu_time_before = process_cpu_time(self.node.child.id());
+        let used_before = cpu_time(self.node.child.id());
         self.phase_kind.store(kind, Ordering::Relaxed);
         let end = Instant::now() + PHASE_DURATION;
         while Instant::now() < end {
@@ -149,8 +140,8 @@
             thread::sleep(pause.min(end.saturating_duration_since(Instant::now())));
         }
         self.phase_kind.store(NO_PHASE, Ordering::Relaxed);
-        let cpu_time = process_cpu_time(self.node.child.id()) - cpu_time_before;
-        self.measurements.lock().expect("no thread has panicked")[kind].cpu_time += cpu_time;
+        let used = cpu_time(self.node.child.id()) - used_before;
+        self.measurements.lock().expect("no thread has panicked")[kind].cpu_time += used;
     }
 }
 
